--- /dev/null
+++ b/spurarch/__init__.py
@@ -0,0 +1,3 @@
+"""spurarch: a cluster scheduler run by a few cooperating controllers."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/spurarch/bookkeeping/cloud.py
@@ -0,0 +1,85 @@
+"""Client of the cloud: types and prices, rentals, returns and the list, under the published rate."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import curio
+import msgspec
+
+from spurarch.bookkeeping.limits import TokenBucket
+from spurarch.protocol import wire
+from spurarch.transport.http import HttpClient, NoAnswer
+
+log = logging.getLogger(__name__)
+
+CALL_S = 5.0
+
+
+class CloudTrouble(Exception):
+    """A call was not served. `unsure` says that it may have been, or may be later."""
+
+    def __init__(self, reason: str, unsure: bool = False) -> None:
+        super().__init__(reason)
+        self.unsure = unsure
+
+
+class NoCapacity(Exception):
+    """The cloud has no such machine now."""
+
+
+class Cloud:
+    """The cloud, as one controller sees it."""
+
+    def __init__(self, address: str, rps: float, controllers: int) -> None:
+        self._client = HttpClient(address, max_connections=6)
+        self._bucket = TokenBucket(rps * 0.6 if controllers > 1 else rps * 0.9, max(1.0, rps))
+
+    async def _call(self, method: str, target: str, body: bytes | None) -> tuple[int, bytes]:
+        while delay := self._bucket.delay(time.monotonic(), 1):
+            await curio.sleep(delay)
+        try:
+            status, answer = await self._client.request(method, target, body, CALL_S)
+        except NoAnswer as err:
+            raise CloudTrouble(str(err), err.sent) from None
+        if status == 429:
+            self._bucket.penalize(time.monotonic())
+        if status == 503 and b"capacity" in answer:
+            raise NoCapacity
+        if status != 200:
+            raise CloudTrouble(f"status {status}")
+        return status, answer
+
+    async def types(self) -> list[wire.MachineType]:
+        """Types and current prices."""
+        _, answer = await self._call("GET", wire.PATH_TYPES, None)
+        return _decode(wire.types_decoder, answer).types
+
+    async def machines(self) -> list[wire.ListedMachine]:
+        """All machines on the list, which lags."""
+        out: list[wire.ListedMachine] = []
+        after: str | None = None
+        while True:
+            _, answer = await self._call("GET", f"{wire.PATH_MACHINES}?{wire.query(after=after, limit=500)}", None)
+            page = _decode(wire.list_decoder, answer)
+            out += page.machines
+            if not page.more or not page.machines:
+                return out
+            after = page.machines[-1].id
+
+    async def rent(self, rental: wire.Rental) -> list[str]:
+        """Rents machines; the same request may be repeated without renting twice."""
+        _, answer = await self._call("POST", wire.PATH_MACHINES, wire.encode(rental))
+        return _decode(wire.names_decoder, answer).machines
+
+    async def release(self, names: list[str]) -> None:
+        """Returns up to 100 machines; they are gone when this ends without an error."""
+        await self._call("POST", wire.PATH_RELEASE, wire.encode(wire.MachineNames(names)))
+
+
+def _decode(decoder: msgspec.json.Decoder[wire.T], answer: bytes) -> wire.T:
+    try:
+        return decoder.decode(answer)
+    except msgspec.DecodeError as err:
+        raise CloudTrouble(f"unreadable answer: {err}", True) from None
--- /dev/null
+++ b/spurarch/bookkeeping/records.py
@@ -0,0 +1,146 @@
+"""What the state service keeps: keys and the typed value under each.
+
+Everything that is not yet over lives under `live/`; a job that is over leaves one small record under `final/`, so a
+starting controller reads what is alive and nothing else.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from spurarch.protocol.wire import Submission
+
+LIVE = "live/"
+JOB, ADMISSION, ALLOT = "live/job/", "live/admitted/", "live/allot/"
+PART, MEMBER, LEADER, MACHINE = "live/part/", "live/member/", "live/leader", "live/machine/"
+FINAL = "final/"
+
+FREE, ASSIGNED, ENDED, RETURNED = 0, 1, 2, 3
+
+
+class JobRecord(Struct):
+    """A job that is not over. `at` is the wall clock of its submission and only orders jobs."""
+
+    spec: Submission
+    at: float
+    cancelled: bool = False
+
+
+class AdmissionRecord(Struct, array_like=True):
+    """How many tasks of a job were admitted, and in how many allotments.
+
+    Every admission writes it, so two of them can never both succeed, however late one is executed.
+    """
+
+    next: int
+    chunks: int = 0
+
+
+class TaskEntry(Struct, array_like=True):
+    """One admitted task: free, assigned, ended, or returned to the leader."""
+
+    index: int
+    state: int = FREE
+    attempt: int = 0
+    machine: str = ""
+    session: int = 0
+
+
+class AllotRecord(Struct, array_like=True):
+    """Tasks of one job that one part has to run."""
+
+    tasks: list[TaskEntry]
+
+
+class PartRecord(Struct):
+    """Which controller holds a part. The epoch rises with every change; `boot` names the process that claimed it."""
+
+    node: str
+    epoch: int
+    boot: str = ""
+
+
+class MemberRecord(Struct):
+    """A controller that lives."""
+
+    node: str
+    boot: str
+    area: str
+
+
+class LeaderRecord(Struct):
+    """The leading controller."""
+
+    node: str
+    boot: str
+
+
+class MachineRecord(Struct):
+    """A machine that has reported to its part's holder."""
+
+    type: str
+    spot: bool
+    addr: str
+    open: bool = True
+
+
+class FinalRecord(Struct):
+    """A job that is over."""
+
+    state: str
+    tasks: int
+
+
+Record = (
+    JobRecord | AdmissionRecord | AllotRecord | PartRecord | MemberRecord | LeaderRecord | MachineRecord | FinalRecord
+)
+
+_DECODERS: list[tuple[str, Any]] = [
+    (prefix, msgspec.json.Decoder(kind))
+    for prefix, kind in (
+        (JOB, JobRecord), (ADMISSION, AdmissionRecord), (ALLOT, AllotRecord), (PART, PartRecord),
+        (MEMBER, MemberRecord), (LEADER, LeaderRecord), (MACHINE, MachineRecord), (FINAL, FinalRecord),
+    )
+]  # fmt: skip
+
+
+def decode(key: str, raw: bytes | msgspec.Raw) -> Record | None:
+    """The record under a key, or None for a key that is not ours."""
+    for prefix, decoder in _DECODERS:
+        if key.startswith(prefix):
+            record: Record = decoder.decode(raw)
+            return record
+    return None
+
+
+@dataclass(slots=True, frozen=True)
+class AllotKey:
+    """Where an allotment belongs."""
+
+    zone: str
+    job: str
+    chunk: int
+
+    def __str__(self) -> str:
+        return f"{ALLOT}{self.zone}/{self.job}/{self.chunk}"
+
+    @staticmethod
+    def parse(key: str) -> AllotKey:
+        """The inverse of str()."""
+        zone, job, chunk = key[len(ALLOT) :].rsplit("/", 2)
+        return AllotKey(zone, job, int(chunk))
+
+
+def machine_key(zone: str, name: str) -> str:
+    """Key of a machine's record."""
+    return f"{MACHINE}{zone}/{name}"
+
+
+def parse_machine_key(key: str) -> tuple[str, str]:
+    """Zone and name of a machine's key."""
+    zone, name = key[len(MACHINE) :].split("/", 1)
+    return zone, name
--- /dev/null
+++ b/spurarch/bookkeeping/replica.py
@@ -0,0 +1,359 @@
+"""This controller's copy of what the state service keeps, and the one way to change it.
+
+The copy is brought forward by watches. A watch answer covers every change between two revisions, so applying what is
+newer than our own revision is exact, whichever of several watches answers first. `sync` gives a caller a copy at
+least as new as its own request: a user who was told something by another controller is never told less here.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import OrderedDict, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import curio
+import msgspec
+
+from spurarch.bookkeeping import records
+from spurarch.bookkeeping.records import (
+    AdmissionRecord,
+    AllotKey,
+    AllotRecord,
+    FinalRecord,
+    JobRecord,
+    LeaderRecord,
+    MachineRecord,
+    MemberRecord,
+    PartRecord,
+    Record,
+)
+from spurarch.bookkeeping.store import Outcome, Store, TooOld, Unavailable, Verdict
+from spurarch.protocol import wire
+
+log = logging.getLogger(__name__)
+
+FINALS_KEPT = 20_000
+WATCH_MS = 4000
+WATCH_PAUSE_S = 0.04
+SYNC_PAUSE_S = 0.015
+MAX_TXN_BYTES = 60 * 1024
+
+
+@dataclass(slots=True)
+class Entry:
+    """A record and the revision of its last change."""
+
+    version: int
+    record: Record
+
+
+@dataclass(slots=True, frozen=True)
+class Write:
+    """A change to one key: a new record, or None to delete it."""
+
+    key: str
+    record: Record | None
+    lease: int | None = None
+
+
+class State:
+    """The records, indexed the ways they are asked for. Pure bookkeeping without I/O."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, Entry] = {}
+        self.jobs: dict[str, JobRecord] = {}
+        self.admitted: dict[str, AdmissionRecord] = {}
+        self.allots: dict[str, dict[AllotKey, AllotRecord]] = defaultdict(dict)  # by job
+        self.zone_allots: dict[str, dict[AllotKey, AllotRecord]] = defaultdict(dict)
+        self.parts: dict[str, PartRecord] = {}
+        self.members: dict[str, MemberRecord] = {}
+        self.machines: dict[str, dict[str, MachineRecord]] = defaultdict(dict)  # by zone
+        self.leader: LeaderRecord | None = None
+        self.finals: OrderedDict[str, FinalRecord] = OrderedDict()
+        self.revision = 0
+        self._dropped: dict[str, int] = {}
+        self._subscribers: list[set[str]] = []
+
+    def subscribe(self) -> set[str]:
+        """A set that collects the keys that change, for its owner to empty."""
+        dirty: set[str] = set(self.entries)
+        self._subscribers.append(dirty)
+        return dirty
+
+    def version(self, key: str) -> int:
+        """The revision of a key's last change; 0 if it does not exist."""
+        entry = self.entries.get(key)
+        return entry.version if entry else 0
+
+    def put(self, key: str, version: int, record: Record) -> None:
+        """Takes in a record unless something newer is known."""
+        if version <= self.version(key) or version <= self._dropped.get(key, 0):
+            return
+        if isinstance(record, FinalRecord):
+            self.finals[key[len(records.FINAL) :]] = record
+            while len(self.finals) > FINALS_KEPT:
+                self.finals.popitem(last=False)
+            return
+        self.entries[key] = Entry(version, record)
+        self._index(key, record)
+        self._touch(key)
+
+    def drop(self, key: str, version: int) -> None:
+        """Takes in a deletion unless the key was written later."""
+        entry = self.entries.get(key)
+        if entry is not None and entry.version > version:
+            return
+        if version > self.revision:
+            # A deletion of our own may be known before older news of the same key arrive by watch.
+            self._dropped[key] = version
+        if entry is not None:
+            del self.entries[key]
+            self._unindex(key, entry.record)
+            self._touch(key)
+
+    def advance(self, revision: int) -> None:
+        """All changes up to a revision are in."""
+        self.revision = max(self.revision, revision)
+        if self._dropped:
+            self._dropped = {k: v for k, v in self._dropped.items() if v > self.revision}
+
+    def _touch(self, key: str) -> None:
+        for dirty in self._subscribers:
+            dirty.add(key)
+
+    def _index(self, key: str, record: Record) -> None:
+        if isinstance(record, JobRecord):
+            self.jobs[record.spec.id] = record
+        elif isinstance(record, AdmissionRecord):
+            self.admitted[key[len(records.ADMISSION) :]] = record
+        elif isinstance(record, AllotRecord):
+            where = AllotKey.parse(key)
+            self.allots[where.job][where] = record
+            self.zone_allots[where.zone][where] = record
+        elif isinstance(record, PartRecord):
+            self.parts[key[len(records.PART) :]] = record
+        elif isinstance(record, MemberRecord):
+            self.members[record.node] = record
+        elif isinstance(record, LeaderRecord):
+            self.leader = record
+        elif isinstance(record, MachineRecord):
+            zone, name = records.parse_machine_key(key)
+            self.machines[zone][name] = record
+
+    def _unindex(self, key: str, record: Record) -> None:
+        if isinstance(record, JobRecord):
+            self.jobs.pop(record.spec.id, None)
+        elif isinstance(record, AdmissionRecord):
+            self.admitted.pop(key[len(records.ADMISSION) :], None)
+        elif isinstance(record, AllotRecord):
+            where = AllotKey.parse(key)
+            mine = self.allots[where.job]
+            mine.pop(where, None)
+            if not mine:
+                del self.allots[where.job]
+            self.zone_allots[where.zone].pop(where, None)
+        elif isinstance(record, PartRecord):
+            self.parts.pop(key[len(records.PART) :], None)
+        elif isinstance(record, MemberRecord):
+            self.members.pop(record.node, None)
+        elif isinstance(record, LeaderRecord):
+            self.leader = None
+        elif isinstance(record, MachineRecord):
+            zone, name = records.parse_machine_key(key)
+            self.machines[zone].pop(name, None)
+
+
+class Replica:
+    """Keeps a State up to date and commits changes to it."""
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.state = State()
+        self.loaded = False
+        self.synced_at = 0.0  # the copy held everything that had been changed before this moment
+        self._bells: list[curio.Event] = []
+        self._batch: _Batch | None = None
+        self._wanted = curio.Event()
+
+    def listen(self) -> curio.Event:
+        """An event that is set whenever something may have changed; its owner clears it."""
+        bell = curio.Event()
+        self._bells.append(bell)
+        return bell
+
+    async def ring(self) -> None:
+        """Wakes all who listen."""
+        for bell in self._bells:
+            await bell.set()
+
+    async def load_small(self) -> None:
+        """Reads what is needed to answer workers, before everything else."""
+        for prefix in (records.PART, records.MEMBER, records.LEADER):
+            page = await self.store.page(prefix, None)
+            for item in page.items:
+                self._take(item.key, item.version, item.value)
+
+    async def load(self) -> None:
+        """Reads everything that is alive; the watch then starts from the revision before the first page."""
+        start = time.monotonic()
+        after: str | None = None
+        first: int | None = None
+        seen: set[str] = set()
+        while True:
+            page = await self.store.page(records.LIVE, after)
+            first = page.revision if first is None else first
+            for item in page.items:
+                seen.add(item.key)
+                self._take(item.key, item.version, item.value)
+            if not page.more or not page.items:
+                break
+            after = page.items[-1].key
+        for key in set(self.state.entries) - seen:
+            if self.state.version(key) <= first:
+                self.state.drop(key, first)
+        self.state.revision = first
+        self.loaded = True
+        self.synced_at = max(self.synced_at, start)
+        await self.ring()
+
+    def _take(self, key: str, version: int, value: msgspec.Raw) -> None:
+        try:
+            record = records.decode(key, value)
+        except msgspec.DecodeError as err:
+            log.error("unreadable record %s: %s", key, err)
+            return
+        if record is not None:
+            self.state.put(key, version, record)
+
+    async def _apply(self, changes: wire.Changes) -> None:
+        for event in changes.events:
+            if event.version <= self.state.revision:
+                continue
+            if event.put is not None:
+                self._take(event.put, event.version, event.value)
+            elif event.delete is not None:
+                self.state.drop(event.delete, event.version)
+        self.state.advance(changes.revision)
+        if changes.events:
+            await self.ring()
+
+    async def run_watch(self) -> None:
+        """Follows changes in the background."""
+        while True:
+            try:
+                if not self.loaded:
+                    await self.load()
+                sent = time.monotonic()
+                await self._apply(await self.store.watch(self.state.revision, WATCH_MS))
+                self.synced_at = max(self.synced_at, sent)
+                await curio.sleep(WATCH_PAUSE_S)
+            except TooOld:
+                self.loaded = False
+            except Unavailable as err:
+                log.info("watch: %s", err)
+                await curio.sleep(0.3)
+
+    async def run_sync(self) -> None:
+        """Serves all who wait for a fresh copy with one read."""
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            batch, self._batch = self._batch, None
+            if batch is None:
+                continue
+            try:
+                started = time.monotonic()
+                if not self.loaded:
+                    raise Unavailable("not loaded")
+                await self._apply(await self.store.watch(self.state.revision, 0))
+                self.synced_at = max(self.synced_at, started)
+                batch.good = True
+            except (Unavailable, TooOld) as err:
+                log.debug("sync: %s", err)
+            await batch.ready.set()
+            await curio.sleep(SYNC_PAUSE_S)
+
+    async def sync(self, timeout_s: float = 1.5) -> bool:
+        """Brings the copy up to what the service held when this was called; False if that can't be had."""
+        if self._batch is None:
+            self._batch = _Batch()
+        batch = self._batch
+        await self._wanted.set()
+        try:
+            await curio.timeout_after(timeout_s, batch.ready.wait)
+        except curio.TaskTimeout:
+            return False
+        return batch.good
+
+    async def read_final(self, job: str) -> FinalRecord | None:
+        """The final standing of a job, from memory or from the service."""
+        known = self.state.finals.get(job)
+        if known is not None:
+            return known
+        item = await self.store.get(records.FINAL + job)
+        if item is None:
+            return None
+        record = records.decode(item.key, item.value)
+        if not isinstance(record, FinalRecord):
+            return None
+        self.state.put(item.key, item.version, record)
+        return record
+
+    async def commit(
+        self,
+        writes: list[Write],
+        guards: Iterable[str] = (),
+        absent: Iterable[str] = (),
+        give_up_s: float | None = None,
+        urgent: bool = False,
+    ) -> Outcome:
+        """Commits writes if every written or guarded key still has the version known here.
+
+        A lost answer is settled by sending the same transaction again: whichever copy of it is executed first makes
+        the other fail. So this returns UNKNOWN only when `give_up_s` has passed.
+        """
+        versions = {key: self.state.version(key) for key in guards}
+        versions.update((write.key, self.state.version(write.key)) for write in writes)
+        versions.update((key, 0) for key in absent)
+        txn = wire.Txn(
+            [wire.Guard(key, version) for key, version in versions.items()],
+            [
+                wire.Delete(w.key) if w.record is None else wire.Put(w.key, w.record, w.lease)
+                for w in writes
+            ],
+        )  # fmt: skip
+        started = time.monotonic()
+        unsure = False
+        while True:
+            outcome = await self.store.txn(txn, urgent)
+            if outcome.verdict is Verdict.UNKNOWN:
+                unsure = True
+            elif outcome.verdict is Verdict.DONE:
+                await self._committed(writes, outcome.revision)
+                return outcome
+            elif outcome.verdict is Verdict.CONFLICT:
+                await self.sync()
+                return outcome
+            elif not unsure:
+                return outcome
+            if give_up_s is not None and time.monotonic() - started > give_up_s:
+                return Outcome(Verdict.UNKNOWN)
+            await curio.sleep(0.1 if outcome.verdict is Verdict.UNKNOWN else 0.3)
+
+    async def _committed(self, writes: list[Write], revision: int) -> None:
+        for write in writes:
+            if write.record is None:
+                self.state.drop(write.key, revision)
+            else:
+                self.state.put(write.key, revision, write.record)
+        await self.ring()
+
+
+class _Batch:
+    """Callers that share one read."""
+
+    def __init__(self) -> None:
+        self.ready = curio.Event()
+        self.good = False
--- /dev/null
+++ b/spurarch/cli.py
@@ -0,0 +1,132 @@
+"""The command line. Only what a command needs is imported, so that a controller starts fast."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import os
+import sys
+
+from spurarch import __version__
+from spurarch.settings import Platform, SettingsError, Tuning, load_platform, load_tuning
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+USAGE, FAILED = 2, 1
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """The parser of all commands. Without a command, `--config FILE` serves."""
+    parser = argparse.ArgumentParser(prog="spurarch", description="A cluster scheduler run by a few controllers.")
+    parser.add_argument("--version", action="version", version=f"spurarch {__version__}")
+    _add_settings(parser, required=False)
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND")
+    for name, text in (
+        ("serve", "run a controller (the default)"),
+        ("check", "check settings and exit"),
+        ("settings", "print the settings in force"),
+    ):
+        _add_settings(commands.add_parser(name, help=text, description=text), required=True)
+    submit = commands.add_parser("submit", help="submit a job from a JSON file, or - for standard input")
+    submit.add_argument("file")
+    show = commands.add_parser("show", help="show a job")
+    cancel = commands.add_parser("cancel", help="cancel a job")
+    for command in (show, cancel):
+        command.add_argument("ref")
+    for command in (submit, show, cancel):
+        command.add_argument("--node", required=True, metavar="IP:PORT", help="a controller's public address")
+    return parser
+
+
+def _add_settings(parser: argparse.ArgumentParser, required: bool) -> None:
+    parser.add_argument("--config", metavar="FILE", required=required, help="the platform's TOML file")
+    parser.add_argument("--tuning", metavar="FILE", help="operators' settings, S-expressions")
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs a command; returns its exit code."""
+    parser = build_parser()
+    args = parser.parse_args(argv)
+    if args.command in ("submit", "show", "cancel"):
+        return _request(args)
+    if args.config is None:
+        parser.error("--config FILE or a command is needed")
+    try:
+        platform, tuning = load_platform(args.config), load_tuning(args.tuning)
+        level = _level()
+    except SettingsError as err:
+        print(f"spurarch: {err}", file=sys.stderr)
+        return USAGE
+    if args.command == "check":
+        print("settings are good")
+        return 0
+    if args.command == "settings":
+        return _print_settings(platform, tuning)
+    return _serve(platform, tuning, level)
+
+
+def _level() -> int:
+    name = os.environ.get("LOG_LEVEL", "info").lower()
+    if name not in LEVELS:
+        raise SettingsError(f"environment: LOG_LEVEL: expected one of {', '.join(LEVELS)}")
+    return LEVELS[name]
+
+
+def _serve(platform: Platform, tuning: Tuning, level: int) -> int:
+    logging.basicConfig(level=level, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
+    # curio warns whenever a wait ends just as its limit does, which is harmless and common on a busy core.
+    logging.getLogger("curio").setLevel(logging.ERROR)
+    import curio
+
+    from spurarch.coordination.controller import Controller
+
+    try:
+        curio.run(Controller(platform, tuning).run)
+    except KeyboardInterrupt:
+        return 0
+    except OSError as err:
+        print(f"spurarch: {err}", file=sys.stderr)
+        return FAILED
+    return FAILED
+
+
+def _print_settings(platform: Platform, tuning: Tuning) -> int:
+    import msgspec
+    import sexpdata
+
+    print(msgspec.json.format(msgspec.json.encode(platform)).decode())
+    values = msgspec.to_builtins(tuning)
+    print(sexpdata.dumps([[sexpdata.Symbol(name), value] for name, value in values.items()]))
+    return 0
+
+
+def _request(args: argparse.Namespace) -> int:
+    import curio
+
+    from spurarch.protocol import wire
+    from spurarch.transport.http import HttpClient, NoAnswer
+
+    body: bytes | None = None
+    if args.command == "submit":
+        try:
+            body = sys.stdin.buffer.read() if args.file == "-" else open(args.file, "rb").read()  # noqa: SIM115
+        except OSError as err:
+            print(f"spurarch: {args.file}: {err.strerror}", file=sys.stderr)
+            return USAGE
+        method, target = "POST", wire.PATH_JOBS
+    elif args.command == "show":
+        method, target = "GET", f"{wire.PATH_JOBS}/{args.ref}"
+    else:
+        method, target, body = "POST", f"{wire.PATH_JOBS}/{args.ref}/{wire.PATH_CANCEL}", b"{}"
+
+    async def call() -> tuple[int, bytes]:
+        return await HttpClient(args.node).request(method, target, body, 5.0)
+
+    try:
+        status, answer = curio.run(call)
+    except (NoAnswer, ValueError) as err:
+        print(f"spurarch: {args.node}: {err}", file=sys.stderr)
+        return FAILED
+    print(answer.decode(errors="replace"))
+    if status >= 400:
+        print(f"spurarch: status {status}", file=sys.stderr)
+    return 0 if status < 400 else FAILED
--- /dev/null
+++ b/spurarch/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Top layer: who owns what, what runs where, and the life of tasks and machines."""
--- /dev/null
+++ b/spurarch/coordination/controller.py
@@ -0,0 +1,183 @@
+"""One controller: its tasks, its routes and the back channel."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+import time
+
+import curio
+import msgspec
+
+from spurarch.bookkeeping.cloud import Cloud
+from spurarch.bookkeeping.replica import Replica
+from spurarch.bookkeeping.store import Store, Unavailable
+from spurarch.coordination.holder import Holder
+from spurarch.coordination.leader import Leader
+from spurarch.coordination.membership import Membership
+from spurarch.coordination.reach import Reach
+from spurarch.coordination.users import Users, error
+from spurarch.coordination.view import FleetView
+from spurarch.protocol import hints, wire
+from spurarch.settings import Platform, Tuning
+from spurarch.transport.frames import FrameClient, FrameServer
+from spurarch.transport.http import HttpServer, Request, Response
+
+log = logging.getLogger(__name__)
+
+CUT_AFTER_S = 1.5
+PING_S = 1.0
+SOCKETS_RESERVED = 120
+
+
+class Controller:
+    """Wires the layers together and runs until it is killed."""
+
+    def __init__(self, platform: Platform, tuning: Tuning) -> None:
+        self.platform, self.tuning = platform, tuning
+        deployment = platform.deployment
+        self.boot = secrets.token_hex(8)
+        external = platform.external
+        self.store = Store(external.state, deployment.state.rps, deployment.state.write_rps, deployment.count)
+        self.cloud = Cloud(external.cloud, deployment.cloud.rps, deployment.count)
+        self.replica = Replica(self.store)
+        self.membership = Membership(
+            self.replica, platform.node, self.boot, platform.area, deployment.zones, tuning.member_ttl_s
+        )
+        workers = deployment.workers
+        self.reach = Reach([p.node for p in platform.peers], workers.cancel_s, workers.lease_s)
+        self.view = FleetView(self.replica.state, [t.name for t in deployment.teams])
+        self.holder = Holder(
+            self.replica, self.membership, self.view, self.cloud, self.reach, deployment, tuning
+        )  # fmt: skip
+        self.leader = Leader(
+            self.replica, self.membership, self.view, self.cloud, deployment, tuning, self.boot, self._wake
+        )
+        self.users = Users(self.replica, self.view, deployment.teams, deployment.zones)
+        self._peers = {p.node: FrameClient(p.address) for p in platform.peers}
+        self._waking = curio.Event()
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        platform = self.platform
+        most = max(16, platform.deployment.limits.sockets - SOCKETS_RESERVED)
+        tasks = [
+            HttpServer(platform.listen, self.handle, most).run,
+            FrameServer(platform.back, self.on_frame, 32).run,
+            self.membership.run_lease,
+            self._start,
+            self.replica.run_sync,
+            self.holder.run,
+            self.leader.run,
+            self.leader.run_cloud,
+            self._keep_word,
+            self._wake_peers,
+        ]
+        log.info("controller %s starts (%s)", platform.node, self.boot)
+        async with curio.TaskGroup(wait=any) as group:
+            for task in tasks:
+                await group.spawn(task)
+            async for done in group:
+                if done.exception:
+                    log.error("a task ended: %r", done.exception)
+                    raise done.exception
+
+    async def _start(self) -> None:
+        """Claims first, so that workers are answered before everything else has been read."""
+        while True:
+            try:
+                await self.replica.load_small()
+                await self.membership.claim()
+                break
+            except Unavailable as err:
+                log.info("start: %s", err)
+                await curio.sleep(0.2)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self.replica.run_watch)
+            await group.spawn(self.membership.run)
+
+    # Requests
+
+    async def handle(self, request: Request) -> Response:
+        """Routes a request."""
+        path = request.target.split("?", 1)[0]
+        if path == wire.PATH_REPORT:
+            return await self._report(request) if request.method == "POST" else error(405, "use POST")
+        if path == wire.PATH_HEALTH:
+            return self._health() if request.method == "GET" else error(405, "use GET")
+        if path == wire.PATH_JOBS:
+            return await self.users.submit(request.body) if request.method == "POST" else error(405, "use POST")
+        if path.startswith(wire.PATH_JOBS + "/"):
+            ref, _, rest = path[len(wire.PATH_JOBS) + 1 :].partition("/")
+            if not rest:
+                return await self.users.poll(ref) if request.method == "GET" else error(405, "use GET")
+            if rest == wire.PATH_CANCEL:
+                return await self.users.cancel(ref) if request.method == "POST" else error(405, "use POST")
+        return error(404, "no such path")
+
+    async def _report(self, request: Request) -> Response:
+        try:
+            report = wire.report_decoder.decode(request.body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as err:
+            return error(400, str(err))
+        status, body = await self.holder.on_report(report, time.monotonic())
+        return Response(status, body)
+
+    def _health(self) -> Response:
+        """Healthy unless a peer could serve users and this controller can't."""
+        now = time.monotonic()
+        if not self.replica.loaded:
+            return error(503, "starting")
+        if now - self.replica.synced_at > 3.0 and now - self.reach.peer_reaches_at < 3.0:
+            return error(503, "cut from the state service")
+        return Response(200)
+
+    # Back channel
+
+    async def on_frame(self, frame: bytes) -> bytes:
+        """Answers a peer."""
+        hint = hints.decode(frame)
+        if isinstance(hint, hints.Wake):
+            await curio.spawn(self._follow, daemon=True)
+        if isinstance(hint, hints.Ping):
+            reaches = self.replica.loaded and await self.replica.sync(0.8)
+            state = self.replica.state
+            cancelled = [ref for ref, job in state.jobs.items() if job.cancelled] if reaches else []
+            parts = [(zone, p.node, p.epoch) for zone, p in state.parts.items()] if reaches else []
+            return hints.encode(hints.Pong(self.platform.node, self.boot, reaches, cancelled, parts))
+        return hints.encode(hints.Wake())
+
+    async def _follow(self) -> None:
+        await self.replica.sync()
+
+    async def _wake(self) -> None:
+        await self._waking.set()
+
+    async def _wake_peers(self) -> None:
+        while True:
+            await self._waking.wait()
+            self._waking.clear()
+            for client in self._peers.values():
+                await curio.spawn(client.call, hints.encode(hints.Wake()), 0.5, daemon=True)
+            await curio.sleep(0.02)
+
+    async def _keep_word(self) -> None:
+        """Reads the state service at least every second, and asks the peers while it can't be read."""
+        while True:
+            await curio.sleep(0.5)
+            now = time.monotonic()
+            if now - self.replica.synced_at > 0.8 and await self.replica.sync(0.8):
+                continue
+            if time.monotonic() - self.replica.synced_at > CUT_AFTER_S:
+                frame = hints.encode(hints.Ping(self.platform.node))
+                for node, client in self._peers.items():
+                    await curio.spawn(self._ping, node, client, frame, daemon=True)
+                await curio.sleep(PING_S - 0.5)
+
+    async def _ping(self, node: str, client: FrameClient, frame: bytes) -> None:
+        sent = time.monotonic()
+        answer = await client.call(frame, 2.0)
+        hint = hints.decode(answer) if answer is not None else None
+        if isinstance(hint, hints.Pong):
+            self.reach.pong(node, sent, hint)
+            await self.replica.ring()
--- /dev/null
+++ b/spurarch/coordination/leader.py
@@ -0,0 +1,294 @@
+"""What only the leader does: admission, ending jobs, renting. Every transaction guards the leader's record."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from spurarch.bookkeeping import records
+from spurarch.bookkeeping.cloud import Cloud, CloudTrouble, NoCapacity
+from spurarch.bookkeeping.records import AdmissionRecord, AllotKey, AllotRecord, FinalRecord
+from spurarch.bookkeeping.replica import Replica, Write
+from spurarch.bookkeeping.store import Verdict
+from spurarch.coordination.admission import Admission, Grant, Shortage
+from spurarch.coordination.membership import Membership
+from spurarch.coordination.part import live
+from spurarch.coordination.renting import Kind, Order, plan_rentals
+from spurarch.coordination.view import FleetView
+from spurarch.protocol import wire
+from spurarch.settings import Deployment, Tuning
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.25
+LIST_EVERY_S = 5.0
+TYPES_EVERY_S = 60.0
+CHUNK_BYTES = 80
+CHUNK_MOST = 100
+NEVER_UP_FACTOR = 4.0
+NEVER_UP_LEAST_S = 90.0
+
+
+class Booting:
+    """A machine that was rented and has not reported yet."""
+
+    def __init__(self, kind: Kind, since: float) -> None:
+        self.kind, self.since = kind, since
+
+
+class Leader:
+    """The leading controller's rounds; they do nothing while another one leads."""
+
+    def __init__(
+        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud,
+        deployment: Deployment, tuning: Tuning, boot: str, wake: Callable[[], Awaitable[None]],
+    ) -> None:  # fmt: skip
+        self.replica, self.membership, self.view, self.cloud = replica, membership, view, cloud
+        self.deployment, self.tuning, self._boot = deployment, tuning, boot
+        self._bell = replica.listen()
+        self._wake = wake
+        self._next_job: str | None = None
+        self.shortages: list[Shortage] = []
+        self.booting: dict[str, Booting] = {}
+        self._closed: dict[Kind, float] = {}
+        self._hires = 0
+        self._led_since: float | None = None
+        self._listed = False
+        self._chunk = min(CHUNK_MOST, int(deployment.state.value_kb * 1024 / CHUNK_BYTES))
+
+    async def run(self) -> None:
+        """Rounds of the leader: on news, and every now and then."""
+        while True:
+            await curio.ignore_after(TICK_S, self._bell.wait)
+            self._bell.clear()
+            try:
+                if self.replica.loaded and self.membership.leading and self.view.offers:
+                    if self._led_since is None:
+                        self._led_since = time.monotonic()
+                        await self.replica.sync()
+                    await self._round()
+                else:
+                    self._led_since, self._listed = None, False
+            except curio.CancelledError:
+                raise
+            except Exception:  # a failure in one round must not end the controller
+                log.exception("leader round failed")
+            await curio.sleep(0.01)
+
+    async def _round(self) -> None:
+        self.view.update()
+        await self._end_jobs()
+        deadline = time.monotonic() + self.tuning.budget_ms / 1000
+        admission = Admission(self.view, self.deployment.teams, self.view.copies())
+        plan = admission.run(self._next_job, lambda: time.monotonic() > deadline, 2000)
+        self._next_job = plan.next_job
+        if plan.next_job is None or not self.shortages:
+            self.shortages = plan.shortages
+        if plan.grants:
+            await self._admit(plan.grants)
+            await self._wake()
+
+    # Admission
+
+    async def _admit(self, grants: list[Grant]) -> None:
+        by_job: dict[str, list[Grant]] = {}
+        for grant in grants:
+            by_job.setdefault(grant.job, []).append(grant)
+        batch: list[Write] = []
+        jobs: list[str] = []
+        for ref, mine in by_job.items():
+            if not live(self.replica.state, ref):
+                continue
+            writes = self._admission_writes(ref, mine)
+            if batch and len(batch) + len(writes) > self.deployment.state.txn_ops:
+                await self._commit(batch, jobs)
+                batch, jobs = [], []
+            batch += writes
+            jobs.append(ref)
+        if batch:
+            await self._commit(batch, jobs)
+
+    def _admission_writes(self, ref: str, grants: list[Grant]) -> list[Write]:
+        """The job's count, its new allotments, and the old ones that lose tasks; as many as one transaction takes."""
+        state = self.replica.state
+        known = state.admitted.get(ref) or AdmissionRecord(0)
+        chunks, first = known.chunks, known.next
+        most = self.deployment.state.txn_ops - 2
+        writes: list[Write] = []
+        moved: dict[AllotKey, set[int]] = {}
+        fresh: set[int] = set()
+        for grant in grants:
+            moved_here = {index for indices in grant.moved.values() for index in indices}
+            for at in range(0, len(grant.entries), self._chunk):
+                part = grant.entries[at : at + self._chunk]
+                sources = {s for s, indices in grant.moved.items() if any(e.index in indices for e in part)}
+                if len(writes) + 1 + len(sources | set(moved)) > most:
+                    break
+                where = AllotKey(self.view.zones.name(grant.zone), ref, chunks)
+                chunks += 1
+                writes.append(Write(str(where), AllotRecord(part)))
+                taken = {e.index for e in part}
+                fresh |= taken - moved_here
+                for source in sources:
+                    moved.setdefault(source, set()).update(taken & grant.moved[source])
+        # New tasks are admitted in order: what did not fit into the transaction must not leave a hole.
+        while first in fresh:
+            fresh.discard(first)
+            first += 1
+        if fresh:
+            return self._without(writes, ref, fresh, AdmissionRecord(first, chunks), moved)
+        return [Write(records.ADMISSION + ref, AdmissionRecord(first, chunks)), *writes, *self._shrunk(moved)]
+
+    def _without(
+        self, writes: list[Write], ref: str, drop: set[int], count: AdmissionRecord, moved: dict[AllotKey, set[int]]
+    ) -> list[Write]:
+        kept: list[Write] = []
+        for write in writes:
+            if isinstance(write.record, AllotRecord):
+                tasks = [e for e in write.record.tasks if e.index not in drop]
+                if tasks:
+                    kept.append(Write(write.key, AllotRecord(tasks)))
+        return [Write(records.ADMISSION + ref, count), *kept, *self._shrunk(moved)]
+
+    def _shrunk(self, moved: dict[AllotKey, set[int]]) -> list[Write]:
+        out = []
+        for source, indices in moved.items():
+            record = self.replica.state.allots[source.job][source]
+            left = [e for e in record.tasks if e.index not in indices]
+            out.append(Write(str(source), AllotRecord(left) if left else None))
+        return out
+
+    async def _commit(self, writes: list[Write], jobs: list[str]) -> bool:
+        guards = {records.LEADER, *(records.JOB + ref for ref in jobs)}
+        if not self.membership.leading:
+            return False
+        outcome = await self.replica.commit(writes, guards)
+        if outcome.verdict not in (Verdict.DONE, Verdict.REFUSED):
+            log.info("leader transaction: %s %s", outcome.verdict.value, outcome.failed)
+        return outcome.verdict is Verdict.DONE
+
+    # Ends of jobs
+
+    async def _end_jobs(self) -> None:
+        """Records the final standing of jobs whose tasks have all ended, and of cancelled ones that are off."""
+        state = self.replica.state
+        most = self.deployment.state.txn_ops
+        for ref, record in list(state.jobs.items()):
+            allots = state.allots.get(ref, {})
+            if record.cancelled:
+                if allots:
+                    continue
+                final = FinalRecord(wire.CANCELLED, record.spec.tasks)
+            else:
+                job = self.view.jobs.get(ref)
+                if job is None or job.ended < record.spec.tasks:
+                    continue
+                ended = sum(e.state == records.ENDED for a in allots.values() for e in a.tasks)
+                if ended < record.spec.tasks:
+                    continue
+                final = FinalRecord(wire.DONE, record.spec.tasks)
+            writes = [Write(records.FINAL + ref, final), Write(records.JOB + ref, None)]
+            if ref in state.admitted:
+                writes.append(Write(records.ADMISSION + ref, None))
+            # What does not fit goes with the holders' clean-up of jobs that are over.
+            rest = [str(key) for key in allots]
+            guards = rest[: 3 * most]
+            writes += [Write(key, None) for key in rest[: most - len(writes)]]
+            outcome = await self.replica.commit(writes, [records.LEADER, *guards])
+            log.debug("job %s ends as %s: %s", ref, final.state, outcome.verdict.value)
+
+    # The cloud
+
+    async def run_cloud(self) -> None:
+        """Keeps types and prices known on every controller; the leader also lists and rents."""
+        types_at = list_at = -1e9
+        while True:
+            now = time.monotonic()
+            try:
+                if now - types_at > TYPES_EVERY_S or not self.view.offers:
+                    self.view.set_offers(await self.cloud.types())
+                    types_at = now
+                    await self.replica.ring()
+                if self._led_since is not None and self.membership.leading:
+                    if now - list_at > LIST_EVERY_S or not self._listed:
+                        await self._list()
+                        list_at = now
+                    await self._rent()
+            except (CloudTrouble, NoCapacity) as err:
+                log.info("cloud: %s", err or "no capacity")
+            except curio.CancelledError:
+                raise
+            except Exception:  # a failure here must not end the controller
+                log.exception("cloud round failed")
+            await curio.sleep(self.tuning.rent_pause_s if self.view.offers else 0.3)
+
+    def _settle_booting(self) -> None:
+        for zone in self.deployment.zones:
+            for name in self.replica.state.machines[zone]:
+                self.booting.pop(name, None)
+
+    async def _list(self) -> None:
+        """Finds machines that boot, and returns those that never come up or have failed unseen."""
+        machines = await self.cloud.machines()
+        now = time.monotonic()
+        self._listed = True
+        known = {name for zone in self.deployment.zones for name in self.replica.state.machines[zone]}
+        useless = []
+        for machine in machines:
+            if machine.id in known:
+                continue
+            offer = self.view.offers.get(machine.type)
+            patience = max(NEVER_UP_LEAST_S, NEVER_UP_FACTOR * (offer.boot_s if offer else 60.0))
+            if machine.state == wire.FAILED or machine.age_s > patience:
+                useless.append(machine.id)
+                self.booting.pop(machine.id, None)
+            elif machine.state == wire.BOOTING and machine.id not in self.booting:
+                kind = Kind(machine.type, machine.zone, machine.spot)
+                self.booting[machine.id] = Booting(kind, now - machine.age_s)
+        self._settle_booting()
+        for name, booting in list(self.booting.items()):
+            if now - booting.since > NEVER_UP_LEAST_S * 2:
+                del self.booting[name]
+        if useless:
+            log.info("returning machines that never came up: %s", " ".join(useless[:100]))
+            await self.cloud.release(useless[:100])
+
+    async def _rent(self) -> None:
+        self._settle_booting()
+        now = time.monotonic()
+        self._closed = {kind: until for kind, until in self._closed.items() if until > now}
+        orders = plan_rentals(
+            self.view, self.shortages, [b.kind for b in self.booting.values()], set(self._closed),
+            self.deployment.zones,
+        )  # fmt: skip
+        for order in orders:
+            await self._hire(order)
+
+    async def _hire(self, order: Order) -> None:
+        self._hires += 1
+        kind = order.kind
+        # The process's own nonce keeps a name from ever being used again, by whichever controller.
+        rental = wire.Rental(f"{self._boot}-{self._hires}", kind.type, kind.zone, kind.spot, order.count)
+        for _ in range(3):
+            try:
+                names = await self.cloud.rent(rental)
+                break
+            except NoCapacity:
+                log.info("no capacity: %s", kind)
+                self._closed[kind] = time.monotonic() + self.tuning.capacity_backoff_s
+                return
+            except CloudTrouble as err:
+                log.info("rental %s: %s", rental.request, err)
+                if not err.unsure:
+                    return
+        else:
+            return  # it may still be carried out: the machines then show in the list and in reports
+        now = time.monotonic()
+        log.info("rented %d of %d %s", len(names), order.count, kind)
+        for name in names:
+            self.booting[name] = Booting(kind, now)
+        if len(names) < order.count:
+            self._closed[kind] = now + self.tuning.capacity_backoff_s
--- /dev/null
+++ b/spurarch/coordination/machine.py
@@ -0,0 +1,165 @@
+"""The life of a task on a machine, and of a machine, as the holder of a part sees them. No I/O.
+
+    ASSIGNED -> STARTING -> FETCHING -> RUNNING -> (STOPPING ->) EXITED -> forgotten
+        any of them -> GONE once it is proved that the machine no longer has the task
+
+`TaskRun.advance` makes every change of a task's phase and `Machine.advance` every change of a machine's.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from spurarch.bookkeeping.records import AllotKey
+from spurarch.protocol import wire
+
+DRIFT = 1.001
+LEASE_MARGIN_S = 0.5
+
+
+class Phase(enum.IntEnum):
+    """Where a task stands on its machine."""
+
+    ASSIGNED = 0  # recorded; no command has been sent by this process
+    STARTING = 1  # a start command was sent
+    FETCHING = 2
+    RUNNING = 3
+    STOPPING = 4
+    EXITED = 5  # reported as ended; the end is not recorded yet
+    GONE = 6  # proved to be off its machine; that is not recorded yet
+
+
+_NEXT = {
+    Phase.ASSIGNED: {Phase.STARTING, Phase.FETCHING, Phase.RUNNING, Phase.STOPPING, Phase.EXITED, Phase.GONE},
+    Phase.STARTING: {Phase.FETCHING, Phase.RUNNING, Phase.STOPPING, Phase.EXITED, Phase.GONE},
+    Phase.FETCHING: {Phase.RUNNING, Phase.STOPPING, Phase.EXITED, Phase.GONE},
+    Phase.RUNNING: {Phase.FETCHING, Phase.STOPPING, Phase.EXITED, Phase.GONE},
+    Phase.STOPPING: {Phase.EXITED, Phase.GONE},
+    Phase.EXITED: set(),
+    Phase.GONE: set(),
+}
+
+
+@dataclass(slots=True)
+class TaskRun:
+    """A task that the records assign to a machine."""
+
+    where: AllotKey
+    index: int
+    attempt: int
+    machine: str
+    session: int
+    since: float
+    phase: Phase = Phase.ASSIGNED
+    why: str | None = None
+    stop: bool = False  # it has to leave its machine
+    grace_s: float = 0.0
+    sent_seq: int = -1  # the start was handed to the worker no later than its message with this number
+    running_at: float | None = None
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Job and index."""
+        return self.where.job, self.index
+
+    def advance(self, phase: Phase, why: str | None = None) -> bool:
+        """Changes the phase if that is a step a task can take; anything else is old news."""
+        if phase not in _NEXT[self.phase]:
+            return False
+        self.phase = phase
+        if phase is Phase.EXITED:
+            self.why = why
+        return True
+
+
+class Standing(enum.Enum):
+    """Where a machine stands."""
+
+    UNKNOWN = "unknown"  # on record, or reporting, but it has not yet shown a token of ours
+    KNOWN = "known"
+    LOST = "lost"  # silent for so long that its worker's lease has certainly run out
+    GONE = "gone"  # the cloud confirmed its return
+
+
+_MACHINE_NEXT = {
+    Standing.UNKNOWN: {Standing.KNOWN, Standing.GONE},
+    Standing.KNOWN: {Standing.LOST, Standing.GONE},
+    Standing.LOST: {Standing.KNOWN, Standing.GONE},
+    Standing.GONE: set(),
+}
+
+
+@dataclass(slots=True)
+class Machine:
+    """A machine of a part."""
+
+    name: str
+    zone: str
+    type: str
+    spot: bool
+    addr: str
+    first_seen: float
+    open: bool = True  # takes new tasks
+    standing: Standing = Standing.UNKNOWN
+    session: int = 0
+    seq: int = -1
+    lost_session: int = -1
+    counter: int = 1  # low part of the token that this machine is given
+    fence: int = 0  # commands with tokens below this may still arrive late unless the worker has seen it
+    token_seen: int = 0
+    in_flight: int = 0  # direct commands without an answer yet
+    answered_at: float | None = None  # receipt of the newest report that was answered
+    notice_until: float | None = None
+    runs: dict[tuple[str, int], TaskRun] = field(default_factory=dict)
+    forget: dict[tuple[str, int], int] = field(default_factory=dict)
+    idle_since: float | None = None
+    failures: int = 0
+    avoid_until: float = 0.0
+    returning: bool = False
+    return_after: float = 0.0
+    direct_after: float = 0.0
+    reported: int = 0  # tasks in the newest report
+
+    def advance(self, standing: Standing) -> bool:
+        """Changes the standing if that is a step a machine can take."""
+        if standing not in _MACHINE_NEXT[self.standing]:
+            return False
+        self.standing = standing
+        return True
+
+    @property
+    def fenced(self) -> bool:
+        """No command that went unanswered can act any more."""
+        return self.in_flight == 0 and self.token_seen >= self.fence
+
+    def usable(self, now: float) -> bool:
+        """May take new tasks."""
+        return (
+            self.standing is Standing.KNOWN
+            and self.open
+            and not self.returning
+            and self.notice_until is None
+            and now >= self.avoid_until
+        )
+
+    def lease_out(self, now: float, lease_s: float) -> bool:
+        """The worker's lease has run out for certain.
+
+        Only we can renew it: it has shown our token, and drops whatever carries a lower one. The time counts from the
+        receipt of the newest report that we answered, which is later than its sending, from which the worker counts.
+        """
+        return (
+            self.standing is Standing.KNOWN
+            and self.answered_at is not None
+            and now - self.answered_at > lease_s * DRIFT + LEASE_MARGIN_S
+        )
+
+
+def observed_phase(task: wire.TaskReport) -> Phase:
+    """The phase that a report shows."""
+    if task.state == wire.EXITED:
+        return Phase.EXITED
+    if task.state == wire.SAVING:
+        return Phase.STOPPING
+    return Phase.FETCHING if task.state == wire.FETCHING else Phase.RUNNING
--- /dev/null
+++ b/spurarch/coordination/membership.py
@@ -0,0 +1,163 @@
+"""Which controllers live, which one leads, and which holds which part.
+
+Leases of the state service decide *when* to take over; whether it is safe rests on epochs alone: every change of a
+part's holder raises its epoch, and every transaction of a holder guards the version of its part's record.
+"""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import curio
+
+from spurarch.bookkeeping import records
+from spurarch.bookkeeping.records import LeaderRecord, MemberRecord, PartRecord
+from spurarch.bookkeeping.replica import Replica, Write
+from spurarch.bookkeeping.store import Verdict
+
+log = logging.getLogger(__name__)
+
+HOME_AFTER_S = 4.0
+
+
+def assign_parts(
+    zones: list[str], parts: dict[str, PartRecord], members: dict[str, MemberRecord], settled: set[str]
+) -> dict[str, str]:
+    """Parts that should change hands, and to whom.
+
+    A part is a whole zone. It goes to a controller in its own zone if there is one, so that a zone cut off from the
+    others keeps working; else to the living controller with the fewest parts. `settled` are members that have lived
+    long enough to take a part from a holder that is alive.
+    """
+    load = dict.fromkeys(members, 0)
+    for zone in zones:
+        part = parts.get(zone)
+        if part is not None and part.node in load:
+            load[part.node] += 1
+    out: dict[str, str] = {}
+    for zone in zones:
+        part = parts.get(zone)
+        alive = part is not None and part.node in members
+        home = [m.node for m in members.values() if m.area == zone]
+        if alive and part is not None and (part.node in home or not settled.intersection(home)):
+            if home or load[part.node] <= min(load.values()) + 1:
+                continue
+        choice = min(home or members, key=lambda node: (load[node], node), default=None)
+        if choice is None or (part is not None and choice == part.node):
+            continue
+        if alive and part is not None:
+            if choice not in settled:
+                continue
+            load[part.node] -= 1
+        load[choice] += 1
+        out[zone] = choice
+    return out
+
+
+class Membership:
+    """Keeps this controller a member, elects a leader and claims the parts given to this controller."""
+
+    def __init__(
+        self, replica: Replica, node: str, boot: str, area: str, zones: list[str], ttl_s: float
+    ) -> None:  # fmt: skip
+        self.replica, self.node, self.boot, self.area = replica, node, boot, area
+        self.zones, self.ttl_s = zones, ttl_s
+        self._bell = replica.listen()
+        self._lease: int | None = None
+        self._seen: dict[str, tuple[str, float]] = {}
+
+    @property
+    def leading(self) -> bool:
+        """This process is the leader on record."""
+        leader = self.replica.state.leader
+        return leader is not None and leader.node == self.node and leader.boot == self.boot
+
+    def holds(self, zone: str) -> PartRecord | None:
+        """The part's record if this process holds it."""
+        part = self.replica.state.parts.get(zone)
+        return part if part is not None and part.node == self.node and part.boot == self.boot else None
+
+    async def run_lease(self) -> None:
+        """Obtains and renews the lease that says that this controller lives."""
+        while True:
+            if self._lease is None:
+                self._lease = await self.replica.store.grant(self.ttl_s)
+                if self._lease is None:
+                    await curio.sleep(0.2)
+                    continue
+            await curio.sleep(self.ttl_s / 4)
+            if await self.replica.store.extend(self._lease) is False:
+                log.info("the lease of this controller ran out")
+                self._lease = None
+
+    async def run(self) -> None:
+        """Keeps membership, leadership and claims up to date."""
+        while True:
+            try:
+                await self.claim()
+                if self.replica.loaded:
+                    await self._join()
+                    await self._elect()
+                    if self.leading:
+                        await self._assign()
+            except curio.CancelledError:
+                raise
+            except Exception:  # a failure here must not end the controller
+                log.exception("membership round failed")
+            await curio.ignore_after(0.25, self._bell.wait)
+            self._bell.clear()
+            await curio.sleep(0.05)
+
+    async def _join(self) -> None:
+        member = self.replica.state.members.get(self.node)
+        if self._lease is not None and (member is None or member.boot != self.boot):
+            record = MemberRecord(self.node, self.boot, self.area)
+            outcome = await self.replica.commit(
+                [Write(records.MEMBER + self.node, record, self._lease)], give_up_s=2.0, urgent=True
+            )
+            if outcome.verdict is Verdict.NO_LEASE:
+                self._lease = None
+
+    async def _elect(self) -> None:
+        leader = self.replica.state.leader
+        member = self.replica.state.members.get(self.node)
+        if self._lease is None or member is None or member.boot != self.boot:
+            return
+        if leader is None or (leader.node == self.node and leader.boot != self.boot):
+            outcome = await self.replica.commit(
+                [Write(records.LEADER, LeaderRecord(self.node, self.boot), self._lease)], give_up_s=2.0, urgent=True
+            )
+            if outcome.verdict is Verdict.DONE:
+                log.info("leading")
+            elif outcome.verdict is Verdict.NO_LEASE:
+                self._lease = None
+
+    async def _assign(self) -> None:
+        state, now = self.replica.state, time.monotonic()
+        for node, member in state.members.items():
+            if self._seen.get(node, ("", 0.0))[0] != member.boot:
+                self._seen[node] = member.boot, now
+        settled = {n for n, (_, at) in self._seen.items() if n in state.members and now - at >= HOME_AFTER_S}
+        for zone, node in assign_parts(self.zones, state.parts, state.members, settled).items():
+            part = state.parts.get(zone)
+            record = PartRecord(node, part.epoch + 1 if part else 1)
+            log.info("part %s goes to %s (epoch %d)", zone, node, record.epoch)
+            await self.replica.commit(
+                [Write(records.PART + zone, record)], guards=[records.LEADER], give_up_s=2.0, urgent=True
+            )
+
+    async def claim(self) -> None:
+        """Raises the epoch of every part that is given to this controller and not yet claimed by this process.
+
+        A process that starts again claims at once: what its predecessor sent carries lower tokens from then on.
+        """
+        for zone, part in list(self.replica.state.parts.items()):
+            if part.node == self.node and part.boot != self.boot:
+                record = PartRecord(self.node, part.epoch + 1, self.boot)
+                outcome = await self.replica.commit(
+                    [Write(records.PART + zone, record)], give_up_s=2.0, urgent=True
+                )  # fmt: skip
+                if outcome.verdict is Verdict.DONE:
+                    log.info("holding part %s (epoch %d)", zone, record.epoch)
+    
--- /dev/null
+++ b/spurarch/coordination/renting.py
@@ -0,0 +1,99 @@
+"""How many machines of which kind to rent where. Pure."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from spurarch.coordination.admission import Shortage
+from spurarch.coordination.fit import EPSILON, Need, Room, best_fit
+from spurarch.coordination.view import FleetView
+from spurarch.protocol import wire
+
+MOST_AT_ONCE = 50
+
+
+@dataclass(slots=True, frozen=True)
+class Kind:
+    """A kind of machine that can be rented: type, zone, and spot or ordinary."""
+
+    type: str
+    zone: str
+    spot: bool
+
+
+@dataclass(slots=True)
+class Order:
+    """Machines to rent."""
+
+    kind: Kind
+    count: int
+
+
+def room_of(view: FleetView, offer: wire.MachineType, kind: Kind) -> Room:
+    """An empty machine of a kind, as the decisions see one."""
+    return Room(
+        -1, view.zones.index(kind.zone), view.types.index(kind.type), kind.spot,
+        offer.cpus, offer.gpus, offer.memory_gb, offer.cpus, offer.gpus, offer.memory_gb,
+    )  # fmt: skip
+
+
+def plan_rentals(
+    view: FleetView, shortages: Iterable[Shortage], booting: Iterable[Kind], closed: set[Kind], zones: list[str]
+) -> list[Order]:
+    """Rents for the tasks that fit neither on what is up nor on what is booting, at the least price per task."""
+    rooms = [room_of(view, view.offers[k.type], k) for k in booting if k.type in view.offers]
+    held: dict[Kind, int] = defaultdict(int)
+    per_zone: dict[int, int] = defaultdict(int)
+    for room in view.rooms.values():
+        per_zone[room.zone] += 1
+    for room in rooms:
+        per_zone[room.zone] += 1
+    for shortage in sorted(shortages, key=lambda s: (s.need.priority, s.due if s.due is not None else math.inf)):
+        left = shortage.count
+        while left > 0:
+            room = best_fit(shortage.need, rooms)
+            if room is None:
+                kind = _cheapest(view, shortage.need, left, closed, zones, per_zone)
+                if kind is None:
+                    break
+                held[kind] += 1
+                room = room_of(view, view.offers[kind.type], kind)
+                per_zone[room.zone] += 1
+                rooms.append(room)
+            room.take(shortage.need)
+            left -= 1
+    return [Order(kind, min(count, MOST_AT_ONCE)) for kind, count in held.items()]
+
+
+def _cheapest(
+    view: FleetView, need: Need, count: int, closed: set[Kind], zones: list[str], per_zone: dict[int, int]
+) -> Kind | None:
+    """The kind with the least price per task, in the zone with the fewest machines."""
+    best: tuple[float, int, str] | None = None
+    choice: Kind | None = None
+    for offer in view.offers.values():
+        fit = _tasks_per_machine(need, offer)
+        if fit == 0:
+            continue
+        for zone in offer.zones:
+            for spot in (True, False):
+                kind = Kind(offer.name, zone, spot)
+                if zone not in zones or kind in closed or not room_of(view, offer, kind).allows(need):
+                    continue
+                price = (offer.spot_price if spot else offer.price) / min(fit, count)
+                order = (price, per_zone[view.zones.index(zone)], zone)
+                if best is None or order < best:
+                    best, choice = order, kind
+    return choice
+
+
+def _tasks_per_machine(need: Need, offer: wire.MachineType) -> int:
+    fits = [
+        int((have + EPSILON) / take)
+        for take, have in ((need.cpus, offer.cpus), (need.gpus, offer.gpus), (need.memory_gb, offer.memory_gb))
+        if take > 0
+    ]
+    return min(fits, default=1)
--- /dev/null
+++ b/spurarch/coordination/returning.py
@@ -0,0 +1,50 @@
+"""Which machines a holder gives back to the cloud, and why. Pure."""
+
+from __future__ import annotations
+
+from spurarch.coordination.machine import Machine, Standing
+from spurarch.coordination.part import Part
+from spurarch.coordination.view import FleetView
+from spurarch.settings import Tuning, Workers
+
+RETURN_AT_ONCE = 4
+
+
+def machines_to_return(part: Part, view: FleetView, tuning: Tuning, workers: Workers, now: float) -> list[Machine]:
+    """Silent machines, whose return is the fastest proof that their tasks are off, and idle ones beyond headroom."""
+    out = [m for m in part.machines.values() if _silent(part, m, tuning, workers, now)]
+    if not part.free:
+        out += _idle(part, view, tuning, now)
+    return out[:RETURN_AT_ONCE]
+
+
+def _silent(part: Part, machine: Machine, tuning: Tuning, workers: Workers, now: float) -> bool:
+    if machine.standing is Standing.GONE or machine.returning:
+        return False
+    if machine.standing is Standing.UNKNOWN:
+        # Someone we can't see may keep it alive, so time proves nothing: only its return frees its tasks.
+        return now - max(part.taken_at, machine.first_seen) > workers.lease_s * 1.5
+    since = now - (machine.answered_at or machine.first_seen)
+    if machine.runs:
+        return since > max(tuning.silent_return_s, 2.5 * workers.report_s)
+    return since > workers.lease_s * 2
+
+
+def _idle(part: Part, view: FleetView, tuning: Tuning, now: float) -> list[Machine]:
+    """Machines that have had no task for long, as far as the rest keeps the share of room set aside."""
+    rooms = {view.machines.name(r.machine): r for r in view.rooms.values() if r.open}
+    total = sum(r.cpus for r in rooms.values())
+    free = sum(max(0.0, r.free_cpus) for r in rooms.values())
+    out = []
+    for machine in part.machines.values():
+        room = rooms.get(machine.name)
+        if room is None or room.tasks or machine.runs or not machine.usable(now):
+            continue
+        if machine.idle_since is None or now - machine.idle_since < tuning.idle_return_s:
+            continue
+        if free - room.cpus < tuning.headroom * (total - room.cpus):
+            continue
+        free -= room.cpus
+        total -= room.cpus
+        out.append(machine)
+    return out
--- /dev/null
+++ b/spurarch/coordination/tabu.py
@@ -0,0 +1,166 @@
+"""The paper's second tier (IV-C): Tabu search over single moves of service replicas between the machines of a part.
+
+It minimises alpha*EC + beta*IB + gamma*DV of the paper's Eq. 4. EC is zero here, since no traffic is known. IB is the
+mean relative gap between each machine's booked CPU, GPU and memory and their averages, over the machines that hold
+tasks and are not being emptied. DV is the share of moved tasks. Moves keep within capacity, never target an empty
+machine, and an entry of the tabu list is lifted when it would beat the best solution so far (aspiration).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from spurarch.coordination.fit import Need, Room
+
+
+@dataclass(slots=True, frozen=True)
+class Weights:
+    """Weights of the three terms."""
+
+    edge: float
+    imbalance: float
+    move: float
+
+
+@dataclass(slots=True)
+class Replica:
+    """A task that the search may move; `fixed` ones only count as load."""
+
+    task: int
+    need: Need
+    at: int  # index into the rooms
+    home: int
+    movable: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Move:
+    """One task's move between two rooms."""
+
+    task: int
+    source: int
+    target: int
+    gain: float
+
+
+@dataclass(slots=True)
+class SearchResult:
+    """Moves of the best solution, and what the cost was and would be."""
+
+    moves: list[Move]
+    before: float
+    after: float
+    iterations: int
+
+
+class Search:
+    """One search over one part."""
+
+    def __init__(self, rooms: list[Room], tasks: list[Replica], emptying: frozenset[int], weights: Weights) -> None:
+        self.rooms, self.tasks, self.weights = rooms, tasks, weights
+        self._held = [0] * len(rooms)
+        for task in tasks:
+            self._held[task.at] += 1
+        self._emptying = emptying
+        self._moved = 0
+
+    def _counted(self) -> list[int]:
+        """Machines that hold tasks and are not being emptied."""
+        return [i for i, held in enumerate(self._held) if held > 0 and i not in self._emptying]
+
+    def imbalance(self) -> float:
+        """IB: over booked amounts, dimension by dimension; a dimension nobody uses counts as even."""
+        total = 0.0
+        counted = self._counted()
+        if not counted:
+            return 0.0
+        for booked in (_cpus, _gpus, _memory):
+            values = [booked(self.rooms[i]) for i in counted]
+            mean = sum(values) / len(values)
+            if mean > 0:
+                total += sum(abs(v - mean) for v in values) / mean
+        return total / (len(counted) * 3)
+
+    def cost(self) -> float:
+        """The paper's cost of the present placement."""
+        dirty = self._moved / len(self.tasks) if self.tasks else 0.0
+        return self.weights.imbalance * self.imbalance() + self.weights.move * dirty
+
+    def _shift(self, task: Replica, target: int) -> None:
+        self.rooms[task.at].give(task.need)
+        self.rooms[target].take(task.need)
+        self._held[task.at] -= 1
+        self._held[target] += 1
+        self._moved += (target != task.home) - (task.at != task.home)
+        task.at = target
+
+    def run(
+        self,
+        random: Random,
+        iterations: int,
+        patience: int,
+        tenure: int,
+        most_moves: int,
+        margin: float,
+        out_of_time: Callable[[], bool],
+    ) -> SearchResult:
+        """Searches, and returns the moves of the best placement found if it is better by the margin."""
+        before = best = self.cost()
+        best_at = [t.at for t in self.tasks]
+        tabu: dict[tuple[int, int], int] = {}
+        since_best = step = 0
+        while step < iterations and since_best < patience and not out_of_time():
+            choice = self._best_step(random, tabu, step, best, most_moves)
+            if choice is None:
+                break
+            task, target, cost = choice
+            tabu[task.task, task.at] = step + tenure
+            self._shift(task, target)
+            since_best += 1
+            step += 1
+            if cost < best - 1e-9:
+                best, since_best = cost, 0
+                best_at = [t.at for t in self.tasks]
+        moves = [
+            Move(t.task, t.home, at, before - best) for t, at in zip(self.tasks, best_at, strict=True) if at != t.home
+        ]
+        if before - best < margin:
+            moves = []
+        return SearchResult(moves, before, best, step)
+
+    def _best_step(
+        self, random: Random, tabu: dict[tuple[int, int], int], step: int, best: float, most_moves: int
+    ) -> tuple[Replica, int, float] | None:
+        """The cheapest neighbour that is not tabu, or is better than anything so far."""
+        chosen: tuple[Replica, int, float] | None = None
+        order = [t for t in self.tasks if t.movable]
+        random.shuffle(order)
+        for task in order:
+            if self._moved >= most_moves and task.at == task.home:
+                continue
+            source = task.at
+            for target in self._counted():
+                if target == source or not self.rooms[target].fits(task.need):
+                    continue
+                self._shift(task, target)
+                cost = self.cost()
+                self._shift(task, source)
+                if tabu.get((task.task, target), -1) >= step and cost >= best - 1e-9:
+                    continue
+                if chosen is None or cost < chosen[2] - 1e-12:
+                    chosen = task, target, cost
+        return chosen
+
+
+def _cpus(room: Room) -> float:
+    return room.cpus - room.free_cpus
+
+
+def _gpus(room: Room) -> float:
+    return room.gpus - room.free_gpus
+
+
+def _memory(room: Room) -> float:
+    return room.memory_gb - room.free_memory_gb
--- /dev/null
+++ b/spurarch/coordination/users.py
@@ -0,0 +1,169 @@
+"""The users' requests. Answers are given at once; what can't be decided says when to come back."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import msgspec
+
+from spurarch.bookkeeping import records
+from spurarch.bookkeeping.records import JobRecord
+from spurarch.bookkeeping.replica import Replica, Write
+from spurarch.bookkeeping.store import Unavailable, Verdict
+from spurarch.coordination.view import FleetView
+from spurarch.protocol import wire
+from spurarch.settings import Team
+from spurarch.transport.http import Response
+
+log = logging.getLogger(__name__)
+
+RETRY_S = 1
+GIVE_UP_S = 2.5
+SYNC_S = 1.2
+MOST_PENDING = 300
+
+
+def error(status: int, message: str) -> Response:
+    """An error as JSON; one that passes says when to come back."""
+    headers = [("Retry-After", str(RETRY_S))] if status in (429, 503) else []
+    return Response(status, wire.encode(wire.ErrorBody(message)), headers)
+
+
+def _state(status: int, ref: str, state: str, done: int | None = None, running: int | None = None) -> Response:
+    return Response(status, wire.encode(wire.JobState(ref, state, done, running)))
+
+
+class Users:
+    """Submissions, polls and cancels."""
+
+    def __init__(self, replica: Replica, view: FleetView, teams: list[Team], zones: list[str]) -> None:
+        self.replica, self.view = replica, view
+        self._teams = {team.name: team for team in teams}
+        self._zones = set(zones)
+        self._pending = 0
+
+    async def submit(self, body: bytes) -> Response:
+        """POST of a job."""
+        try:
+            spec = wire.submission_decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as err:
+            return error(400, str(err))
+        if not wire.REF.fullmatch(spec.id):
+            return error(400, "ref: not a job id")
+        if not _finite(spec):
+            return error(400, "an amount is out of range")
+        if self._pending >= MOST_PENDING:
+            return error(503, "too many submissions at once")
+        self._pending += 1
+        try:
+            return await self._accept(spec)
+        except Unavailable:
+            return error(503, "the state service can't be reached")
+        finally:
+            self._pending -= 1
+
+    async def _accept(self, spec: wire.Submission) -> Response:
+        if not self.replica.loaded:
+            return error(503, "starting")
+        state = self.replica.state
+        if spec.id in state.jobs or spec.id in state.finals:
+            return await self._known(spec.id) or error(503, "the state service can't be reached")
+        refusal = self._impossible(spec)
+        if refusal is not None:
+            # A job that was accepted once is never refused, whatever has changed since.
+            return await self._known(spec.id) or refusal
+        outcome = await self.replica.commit(
+            [Write(records.JOB + spec.id, JobRecord(spec, time.time()))],
+            absent=[records.FINAL + spec.id], give_up_s=GIVE_UP_S, urgent=True,
+        )  # fmt: skip
+        if outcome.verdict is Verdict.DONE:
+            return _state(201, spec.id, wire.QUEUED)
+        if outcome.verdict is Verdict.CONFLICT:
+            return await self._known(spec.id) or error(503, "not settled yet")
+        return error(503, "the state service can't be reached")
+
+    def _impossible(self, spec: wire.Submission) -> Response | None:
+        """Why the job can never run, or 503 while nobody can tell."""
+        team = self._teams.get(spec.team)
+        if team is None:
+            return error(422, "crew: unknown team")
+        count = spec.tasks if spec.kind == wire.SERVICE else 1
+        if 0 < team.cpus_max < spec.cpus * count - 1e-6 or 0 < team.gpus_max < spec.gpus * count - 1e-6:
+            return error(422, "the job needs more than its team's limit")
+        if spec.zone is not None and spec.zone not in self._zones:
+            return error(422, "district: unknown zone")
+        if not self.view.offers:
+            return error(503, "machine types are not known yet")
+        for offer in self.view.offers.values():
+            if spec.types is not None and offer.name not in spec.types:
+                continue
+            if spec.zone is not None and spec.zone not in offer.zones:
+                continue
+            if spec.cpus <= offer.cpus and spec.gpus <= offer.gpus and spec.memory_gb <= offer.memory_gb:
+                return None
+        return error(422, "a task fits no allowed machine type")
+
+    async def poll(self, ref: str) -> Response:
+        """GET of a job."""
+        if not wire.REF.fullmatch(ref):
+            return error(404, "no such job")
+        try:
+            return await self._known(ref) or error(404, "no such job")
+        except Unavailable:
+            return error(503, "the state service can't be reached")
+
+    async def cancel(self, ref: str) -> Response:
+        """POST of a cancellation."""
+        if not wire.REF.fullmatch(ref):
+            return error(404, "no such job")
+        try:
+            for _ in range(4):
+                known = await self._known(ref)
+                if known is None:
+                    return error(404, "no such job")
+                record = self.replica.state.jobs.get(ref)
+                if record is None or record.cancelled:
+                    return known
+                outcome = await self.replica.commit(
+                    [Write(records.JOB + ref, JobRecord(record.spec, record.at, True))],
+                    give_up_s=GIVE_UP_S, urgent=True,
+                )  # fmt: skip
+                if outcome.verdict is Verdict.DONE:
+                    return _state(200, ref, wire.CANCELLED)
+                if outcome.verdict is not Verdict.CONFLICT:
+                    break
+            return error(503, "not settled yet")
+        except Unavailable:
+            return error(503, "the state service can't be reached")
+
+    async def _known(self, ref: str) -> Response | None:
+        """The job's state, no older than anything that was told elsewhere before; None if it was never accepted."""
+        state = self.replica.state
+        final = state.finals.get(ref)
+        if final is None:
+            if not self.replica.loaded or not await self.replica.sync(SYNC_S):
+                raise Unavailable("no fresh copy")
+            record = state.jobs.get(ref)
+            if record is not None:
+                return self._live(ref, record)
+            final = await self.replica.read_final(ref)
+        if final is None:
+            return None
+        done = final.tasks if final.state == wire.DONE else None
+        return _state(200, ref, final.state, done, 0 if done is not None else None)
+
+    def _live(self, ref: str, record: JobRecord) -> Response:
+        if record.cancelled:
+            return _state(200, ref, wire.CANCELLED)
+        done = running = 0
+        for allot in self.replica.state.allots.get(ref, {}).values():
+            for entry in allot.tasks:
+                done += entry.state == records.ENDED
+                running += entry.state == records.ASSIGNED
+        return _state(200, ref, wire.RUNNING if running else wire.QUEUED, done, running)
+
+
+def _finite(spec: wire.Submission) -> bool:
+    amounts = (spec.cpus, spec.gpus, spec.memory_gb, spec.image_gb, spec.estimate_s, spec.checkpoint_s, spec.save_s)
+    return all(0 <= amount <= 1e9 for amount in amounts)
--- /dev/null
+++ b/spurarch/protocol/hints.py
@@ -0,0 +1,41 @@
+"""What controllers tell each other: tagged tuples over MessagePack. All of it may be lost without harm."""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+
+
+class Wake(Struct, tag="wake", array_like=True):
+    """Something was written to the state service that the receiver will want to see."""
+
+
+class Ping(Struct, tag="ping", array_like=True):
+    """Asks whether the receiver reaches the state service, and for news while the sender may not."""
+
+    node: str
+
+
+class Pong(Struct, tag="pong", array_like=True):
+    """Answer to a ping. With `reaches`, the lists are as new as the ping."""
+
+    node: str
+    boot: str
+    reaches: bool
+    cancelled: list[str]
+    parts: list[tuple[str, str, int]]
+
+
+Hint = Wake | Ping | Pong
+
+encode = msgspec.msgpack.encode
+_decoder = msgspec.msgpack.Decoder(Hint)
+
+
+def decode(frame: bytes) -> Hint | None:
+    """A peer's frame, or None if it can't be read."""
+    try:
+        hint: Hint = _decoder.decode(frame)
+        return hint
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/spurarch/protocol/names.py
@@ -0,0 +1,28 @@
+"""The door where names become dense indices: decisions work on small integers and lists, never on strings."""
+
+from __future__ import annotations
+
+
+class Names:
+    """Gives each name the next free index and keeps it."""
+
+    __slots__ = ("_index", "_names")
+
+    def __init__(self) -> None:
+        self._index: dict[str, int] = {}
+        self._names: list[str] = []
+
+    def index(self, name: str) -> int:
+        """The index of a name, new or known."""
+        found = self._index.get(name)
+        if found is None:
+            found = self._index[name] = len(self._names)
+            self._names.append(name)
+        return found
+
+    def name(self, index: int) -> str:
+        """The name behind an index."""
+        return self._names[index]
+
+    def __len__(self) -> int:
+        return len(self._names)
--- /dev/null
+++ b/spurarch/protocol/wire.py
@@ -0,0 +1,310 @@
+"""Messages of the published protocols. The names on the wire stand here and nowhere else.
+
+The rest of the code uses the field's own terms; `rename` maps them to the platform's words.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Any, TypeVar
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+T = TypeVar("T")
+
+MAX_TASKS = 100_000
+MAX_INT = 2**64 - 1
+REF = re.compile(r"job-[0-9]{1,24}")
+
+Amount = Annotated[float, Meta(ge=0, le=1e9)]
+Count = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+Name = Annotated[str, Meta(min_length=1, max_length=160)]
+
+PATH_JOBS = "/submissions"
+PATH_CANCEL = "cancel"
+PATH_HEALTH = "/up"
+PATH_REPORT = "/agent/beat"
+PATH_COMMANDS = "/do"
+PATH_TYPES = "/machine_types"
+PATH_MACHINES = "/machines"
+PATH_RELEASE = "/machines/release"
+PATH_KV = "/kv"
+PATH_TXN = "/txn"
+PATH_WATCH = "/watch"
+PATH_GRANTS = "/grants"
+PATH_EXTEND = "extend"
+
+BATCH, SERVICE = "batch", "daemon"
+PRIORITIES = {"production": 0, "high": 1, "normal": 2, "low": 3}
+QUEUED, RUNNING, DONE, CANCELLED = "pending", "running", "done", "aborted"
+
+FETCHING, SAVING, EXITED = "fetching", "saving", "ended"
+WHY_DONE, WHY_STOPPED, WHY_ERROR = "done", "halted", "error"
+WHY_NO_ROOM, WHY_BUSY, WHY_UNKNOWN = "full", "in_use", "no_such"
+
+START, STOP, FORGET = "run", "halt", "forget"
+BOOTING, UP, FAILED = "booting", "running", "failed"
+
+
+class Submission(Struct, forbid_unknown_fields=False):
+    """A job as its user submits it, and as the store keeps it."""
+
+    id: Name = field(name="ref")
+    job_class: Annotated[str, Meta(max_length=200)] = field(name="circuit")
+    team: Annotated[str, Meta(max_length=200)] = field(name="crew")
+    kind: Annotated[str, Meta(pattern="^(batch|daemon)$")] = field(name="gait")
+    priority: Annotated[str, Meta(pattern="^(production|high|normal|low)$")] = field(name="precedence")
+    tasks: Annotated[int, Meta(ge=1, le=MAX_TASKS)] = field(name="legs")
+    cpus: Amount = field(name="vcpus")
+    gpus: Amount
+    memory_gb: Amount
+    image: Annotated[str, Meta(max_length=400)] = field(name="kit")
+    image_gb: Amount = field(name="pull_gb")
+    one_zone: bool = field(name="together")
+    spread: bool
+    spot: bool = field(name="lendable")
+    estimate_s: Amount = field(name="reckon_s")
+    checkpoint_s: Amount = field(name="waypoint_s")
+    save_s: Amount = field(name="stow_s")
+    types: Annotated[list[Name], Meta(max_length=1000)] | None = field(name="builds", default=None)
+    zone: Name | None = field(name="district", default=None)
+    deadline_s: Amount | None = field(name="cutoff_s", default=None)
+
+
+class JobState(Struct, omit_defaults=True):
+    """What users are told of a job."""
+
+    id: str = field(name="ref")
+    state: str = field(name="standing")
+    done: int | None = None
+    running: int | None = None
+
+
+class TaskReport(Struct):
+    """One task in a worker's report."""
+
+    task: Name = field(name="leg")
+    attempt: Count = field(name="try")
+    state: str = field(name="standing")
+    why: str | None = field(name="cause", default=None)
+    saved: bool | None = field(name="stored", default=None)
+
+
+class Report(Struct):
+    """A worker's report."""
+
+    machine: Name = field(name="croft")
+    addr: Name
+    type: Name = field(name="build")
+    zone: Name = field(name="district")
+    session: Count = field(name="tenure")
+    seq: Count = field(name="tally")
+    token: Annotated[int, Meta(ge=0)] = field(name="baton")
+    tasks: list[TaskReport] = field(name="legs")
+    spot: bool = field(name="lendable", default=False)
+    notice_s: float | None = field(name="warning_s", default=None)
+
+
+class Command(Struct, omit_defaults=True):
+    """One order to a worker."""
+
+    op: str = field(name="verb")
+    task: str = field(name="leg")
+    attempt: int = field(name="try")
+    grace_s: float | None = field(name="leeway_s", default=None)
+
+
+class ReportAnswer(Struct):
+    """The answer to a report."""
+
+    token: int = field(name="baton")
+    commands: list[Command] = field(name="orders")
+
+
+class Steer(Struct, omit_defaults=True):
+    """Sends a worker to the controller that holds its machine."""
+
+    report_to: str | None = field(name="steward", default=None)
+
+
+class DirectCommands(Struct):
+    """Orders sent to a worker's own address."""
+
+    token: int = field(name="baton")
+    session: int = field(name="tenure")
+    commands: list[Command] = field(name="orders")
+
+
+class MachineType(Struct):
+    """One type on the cloud's price list."""
+
+    name: Name = field(name="sku")
+    cpus: Amount = field(name="vcpus")
+    gpus: Amount
+    memory_gb: Amount
+    price: Amount = field(name="hourly")
+    spot_price: Amount
+    boot_s: Amount
+    zones: list[str] = field(name="districts")
+    cache_gb: Amount = field(name="local_gb", default=0.0)
+    fetch_gb_per_s: Amount = 0.0
+
+
+class MachineTypes(Struct):
+    """The cloud's price list."""
+
+    types: list[MachineType] = field(name="builds")
+
+
+class Rental(Struct):
+    """A request for machines."""
+
+    request: str = field(name="hire")
+    type: str = field(name="build")
+    zone: str = field(name="district")
+    spot: bool = field(name="lendable")
+    count: int = field(name="how_many")
+
+
+class MachineNames(Struct):
+    """Names of machines: rented, or to be returned."""
+
+    machines: list[str] = field(name="crofts")
+
+
+class ListedMachine(Struct):
+    """One machine in the cloud's list."""
+
+    id: Name = field(name="ref")
+    addr: str
+    type: str = field(name="build")
+    zone: str = field(name="district")
+    spot: bool = field(name="lendable")
+    state: str = field(name="standing")
+    age_s: float = field(name="held_s")
+
+
+class MachineList(Struct):
+    """A page of the cloud's list."""
+
+    machines: list[ListedMachine] = field(name="crofts")
+    more: bool = field(name="has_next", default=False)
+
+
+class Item(Struct):
+    """A key of the state service; the value stays undecoded until its kind is known."""
+
+    key: str
+    value: msgspec.Raw
+    version: int = field(name="stamp")
+    lease: int | None = field(name="tether", default=None)
+
+
+class Page(Struct):
+    """A page of keys."""
+
+    items: list[Item]
+    revision: int = field(name="ledger")
+    more: bool = field(name="has_next", default=False)
+
+
+class Event(Struct):
+    """One change seen by a watch: a put, or a deletion."""
+
+    version: int = field(name="stamp")
+    put: str | None = field(name="write", default=None)
+    delete: str | None = field(name="drop", default=None)
+    value: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class Changes(Struct):
+    """Answer of a watch."""
+
+    revision: int = field(name="ledger")
+    events: list[Event] = field(name="news")
+
+
+class Guard(Struct):
+    """A condition of a transaction."""
+
+    key: str
+    version: int = field(name="stamp")
+
+
+class Put(Struct, omit_defaults=True):
+    """A put of a transaction."""
+
+    key: str = field(name="write")
+    value: Any
+    lease: int | None = field(name="tether", default=None)
+
+
+class Delete(Struct):
+    """A deletion of a transaction."""
+
+    key: str = field(name="drop")
+
+
+class Txn(Struct):
+    """A transaction."""
+
+    guards: list[Guard]
+    then: list[Put | Delete]
+
+
+class TxnAnswer(Struct):
+    """Revision of a transaction, or the guards that failed."""
+
+    revision: int = field(name="ledger")
+    failed: list[str] = []
+
+
+class GrantRequest(Struct):
+    """Asks the state service for a lease."""
+
+    ttl_ms: int = field(name="life_ms")
+
+
+class Grant(Struct):
+    """A lease of the state service."""
+
+    lease: int = field(name="tether")
+
+
+class ErrorBody(Struct):
+    """An error as JSON."""
+
+    error: str
+
+
+encode = msgspec.json.encode
+submission_decoder = msgspec.json.Decoder(Submission)
+report_decoder = msgspec.json.Decoder(Report)
+types_decoder = msgspec.json.Decoder(MachineTypes)
+names_decoder = msgspec.json.Decoder(MachineNames)
+list_decoder = msgspec.json.Decoder(MachineList)
+page_decoder = msgspec.json.Decoder(Page)
+item_decoder = msgspec.json.Decoder(Item)
+changes_decoder = msgspec.json.Decoder(Changes)
+txn_decoder = msgspec.json.Decoder(TxnAnswer)
+grant_decoder = msgspec.json.Decoder(Grant)
+
+
+def query(**fields: object) -> str:
+    """Query string of the state service's and the cloud's calls."""
+    names = {"prefix": "prefix", "after": "from", "limit": "most", "wait_ms": "wait_ms"}
+    return "&".join(f"{names[k]}={v}" for k, v in fields.items() if v is not None)
+
+
+def task_name(job: str, index: int) -> str:
+    """Name of a task."""
+    return f"{job}/{index}"
+
+
+def split_task(name: str) -> tuple[str, int] | None:
+    """Job and index of a task's name, or None if it isn't one."""
+    job, slash, index = name.rpartition("/")
+    if not slash or not index.isdigit() or len(index) > 6:
+        return None
+    return job, int(index)
--- /dev/null
+++ b/spurarch/settings.py
@@ -0,0 +1,187 @@
+"""Settings: the platform's TOML, and the operators' own choices as S-expressions. Both are checked on reading."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Address = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
+Text = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[^\s/]+$")]
+
+
+class SettingsError(Exception):
+    """A setting is missing, malformed or out of range; the message names file, field and reason."""
+
+
+class Team(Struct):
+    """What a team is guaranteed and what it may use at most; 0 means none."""
+
+    name: str
+    cpus: NotNegative = 0.0
+    cpus_max: NotNegative = 0.0
+    gpus: NotNegative = 0.0
+    gpus_max: NotNegative = 0.0
+
+
+class Objective(Struct):
+    """An aim that users stated for a class of jobs."""
+
+    kind: str
+    job_class: str | None = field(name="class", default=None)
+    share: float = 0.0
+    times: float = 1.0
+    within_s: float = 0.0
+
+
+class Workers(Struct):
+    """How workers report."""
+
+    report_s: Positive
+    lease_s: Positive
+    cancel_s: Positive
+
+
+class StateLimits(Struct):
+    """Published limits of the state service."""
+
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, Meta(ge=4)]
+
+
+class CloudLimits(Struct):
+    """Published limits of the cloud."""
+
+    rps: Positive
+    list_lag_s: NotNegative
+
+
+class Limits(Struct):
+    """What one controller may use."""
+
+    cpu: Positive = 1.0
+    memory_mb: Positive = field(name="mem_mb", default=256.0)
+    sockets: Annotated[int, Meta(ge=32)] = field(name="fd_limit", default=1024)
+
+
+class Deployment(Struct):
+    """The deployment that all controllers serve."""
+
+    zones: Annotated[list[Text], Meta(min_length=1)]
+    teams: list[Team]
+    workers: Workers
+    state: StateLimits
+    cloud: CloudLimits
+    count: Annotated[int, Meta(ge=1)] = 1
+    clock_off_ms: NotNegative = field(name="time_bound_ms", default=1000.0)
+    objectives: list[Objective] = []
+    limits: Limits = field(default_factory=Limits)
+
+
+class Peer(Struct):
+    """Another controller."""
+
+    node: Text
+    area: str
+    address: Address = field(name="peer_addr")
+
+
+class External(Struct):
+    """Outside systems."""
+
+    cloud: Address
+    state: Address
+
+
+class Platform(Struct):
+    """The file that the platform hands over. Unknown fields are ignored."""
+
+    node: Text
+    area: str
+    listen: Address = field(name="public_addr")
+    back: Address
+    external: External
+    deployment: Deployment
+    peers: list[Peer] = field(name="siblings", default=[])
+
+
+class Tuning(Struct, forbid_unknown_fields=True, rename="kebab"):
+    """The operators' own settings; docs/operations.md describes each."""
+
+    edge_weight: Share = 0.234
+    imbalance_weight: Share = 0.512
+    move_weight: Share = 0.254
+    round_s: Positive = 10.0
+    margin: NotNegative = 0.02
+    moves_per_round: Annotated[int, Meta(ge=0, le=100)] = 3
+    tabu_tenure: Annotated[int, Meta(ge=1, le=1000)] = 7
+    tabu_iterations: Annotated[int, Meta(ge=1, le=10000)] = 60
+    tabu_patience: Annotated[int, Meta(ge=1, le=10000)] = 12
+    consolidation_cap: Share = 0.7
+    budget_ms: Positive = 25.0
+    member_ttl_s: Annotated[float, Meta(ge=0.5, le=600)] = 4.0
+    idle_return_s: NotNegative = 40.0
+    headroom: NotNegative = 0.1
+    rent_pause_s: Positive = 1.0
+    capacity_backoff_s: Positive = 20.0
+    silent_return_s: NotNegative = 6.0
+    seed: int = 1
+
+
+def _convert(data: object, kind: Any, source: str) -> Any:
+    try:
+        return msgspec.convert(data, kind, strict=kind is not Tuning)
+    except msgspec.ValidationError as err:
+        reason, _, where = str(err).partition(" - at ")
+        place = where.strip("`").removeprefix("$").lstrip(".") or "top level"
+        raise SettingsError(f"{source}: {place}: {reason}") from None
+
+
+def load_platform(path: str) -> Platform:
+    """Reads and checks the platform's file."""
+    try:
+        data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as err:
+        raise SettingsError(f"{path}: {getattr(err, 'strerror', None) or err}") from None
+    platform: Platform = _convert(data, Platform, path)
+    names = [team.name for team in platform.deployment.teams]
+    if len(set(names)) != len(names):
+        raise SettingsError(f"{path}: deployment.teams: a name stands twice")
+    workers = platform.deployment.workers
+    if workers.cancel_s <= workers.lease_s:
+        raise SettingsError(f"{path}: deployment.workers.cancel_s: must be longer than lease_s")
+    return platform
+
+
+def load_tuning(path: str | None) -> Tuning:
+    """Reads and checks the operators' file: `((round-s 10) (margin 0.02))`. Without a file, the defaults."""
+    if path is None:
+        return Tuning()
+    import sexpdata  # a controller without such a file need not load it
+
+    try:
+        data = sexpdata.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as err:
+        raise SettingsError(f"{path}: {err.strerror}") from None
+    except Exception as err:  # the parser raises many kinds
+        raise SettingsError(f"{path}: not an S-expression: {err}") from None
+    if not isinstance(data, list):
+        raise SettingsError(f"{path}: top level: expected a list of (name value)")
+    values: dict[str, object] = {}
+    for item in data:
+        if not (isinstance(item, list) and len(item) == 2 and isinstance(item[0], sexpdata.Symbol)):
+            raise SettingsError(f"{path}: top level: expected (name value), got {sexpdata.dumps(item)}")
+        name = item[0].value()
+        if name in values:
+            raise SettingsError(f"{path}: {name}: stands twice")
+        values[name] = item[1]
+    tuning: Tuning = _convert(values, Tuning, path)
+    return tuning
