--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -12,7 +12,7 @@
 
 from spurarch.bookkeeping import records
 from spurarch.bookkeeping.records import AllotKey, TaskEntry
-from spurarch.coordination.fit import EPSILON, Need, Room, best_fit
+from spurarch.coordination.fit import EPSILON, Need, Room, all_fit, best_fit
 from spurarch.coordination.view import FleetView, JobView
 from spurarch.settings import Team
 
@@ -88,10 +88,10 @@
         for where, entries in self.view.waiting():
             job = self.view.jobs[where.job]
             for _ in entries:
-                room = best_fit(job.need, by_zone[self.view.zones.index(where.zone)])
-                if room is None:
+                found = best_fit(job.need, by_zone[self.view.zones.index(where.zone)])
+                if found is None:
                     break
-                room.take(job.need)
+                found.take(job.need)
 
     def _open_jobs(self) -> list[str]:
         out = []
@@ -137,8 +137,11 @@
         grants: dict[int, Grant] = {}
         placed = 0
         home = self._home(job, zones) if job.one_zone else None
+        if job.gang and not self._gang_fits(ref, job, home, allowed):
+            self._short(plan, ref, job, job.tasks - job.charged - job.ended)
+            return 0
         for entry, source in self._pending(ref, job):
-            if placed >= min(allowed, most):
+            if placed >= (allowed if job.gang else min(allowed, most)):
                 break
             candidates = self._candidates(job, zones, home)
             room = best_fit(job.need, candidates) or self._by_preemption(job, candidates)
@@ -157,6 +160,13 @@
         plan.grants += grants.values()
         return placed
 
+    def _gang_fits(self, ref: str, job: JobView, home: int | None, allowed: int) -> bool:
+        """A gang starts once all its tasks fit in one part."""
+        wanted = sum(1 for _ in self._pending(ref, job))
+        if home is None or wanted > allowed:
+            return False
+        return all_fit(job.need, [r for r in self.rooms if r.zone == home], wanted)
+
     def _short(self, plan: Plan, ref: str, job: JobView, count: int) -> None:
         if count > 0:
             plan.shortages.append(Shortage(job.need, count, job.due, job.service, ref, job.estimate_s))
--- a/spurarch/coordination/fit.py
+++ b/spurarch/coordination/fit.py
@@ -115,3 +115,14 @@
         if best_order is None or order < best_order:
             best, best_order = room, order
     return best
+
+
+def all_fit(need: Need, rooms: Iterable[Room], count: int) -> bool:
+    """Whether `count` such tasks fit at once."""
+    trial = [room.copy() for room in rooms]
+    for _ in range(count):
+        room = best_fit(need, trial)
+        if room is None:
+            return False
+        room.take(need)
+    return True
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from random import Random
 
 import curio
 import msgspec
@@ -18,6 +19,7 @@
 from spurarch.coordination.part import Part, live, merged
 from spurarch.coordination.placing import Placer
 from spurarch.coordination.reach import Reach
+from spurarch.coordination.refining import refine
 from spurarch.coordination.returning import machines_to_return
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
@@ -29,6 +31,7 @@
 TICK_S = 0.1
 DIRECT_S = 4.0
 CLIENTS_KEPT = 400
+MOVE_S = 15.0
 
 
 class Held:
@@ -55,6 +58,7 @@
         self._dirty = replica.state.subscribe()
         self._clients: dict[str, HttpClient] = {}
         self._returning: set[str] = set()
+        self._random = Random(tuning.seed)
 
     # Reports
 
@@ -161,9 +165,34 @@
                 changes[where] |= entries
         writes = self._machine_writes(part, now)
         await self._commit(part, changes, writes)
+        self._refine(held, now)
         await self._send(part)
         await self._returns(held, now)
 
+    def _refine(self, held: Held, now: float) -> None:
+        """The round of Tabu search and consolidation, and reopening what was being emptied when tasks wait."""
+        part = held.part
+        if part.free:
+            for machine in part.machines.values():
+                machine.emptying = False
+        if now < held.next_search:
+            return
+        first = held.next_search == 0.0
+        held.next_search = now + self.tuning.round_s
+        if first or not self.reach.entitled(self.replica.synced_at, now):
+            return
+        deadline = time.monotonic() + self.tuning.budget_ms / 1000
+        result = refine(part, self.view, self.tuning, now, self._random, lambda: time.monotonic() > deadline)
+        if result.empty is not None:
+            log.info("emptying %s", result.empty)
+            part.machines[result.empty].emptying = True
+        for run, target in result.moves:
+            log.info("moving %s/%d from %s to %s", *run.key, run.machine, target)
+            held.placer.targets[run.key] = target, now + MOVE_S
+            part.stop(run, self._grace(run))
+        if result.search is not None and result.search.moves:
+            log.info("search of %s: cost %.4f to %.4f", part.zone, result.search.before, result.search.after)
+
     def _grace(self, run: TaskRun) -> float:
         job = self.replica.state.jobs.get(run.where.job)
         return job.spec.save_s * 1.5 + 1.0 if job is not None and job.spec.checkpoint_s > 0 else 0.0
@@ -187,13 +216,7 @@
                 continue
             if machine.standing is Standing.UNKNOWN or not machine.type:
                 continue
-            usable = (
-                machine.standing is Standing.KNOWN
-                and not machine.returning
-                and machine.notice_until is None
-                and now >= machine.avoid_until
-            )
-            wanted = MachineRecord(machine.type, machine.spot, machine.addr, usable)
+            wanted = MachineRecord(machine.type, machine.spot, machine.addr, machine.willing(now))
             if record != wanted:
                 out.append(Write(key, wanted))
         return out
@@ -202,16 +225,16 @@
         """Writes what changed, in transactions within the limits that guard the part and the jobs."""
         state = self.replica.state
         for where, record in list(state.zone_allots[part.zone].items()):
-            if not live(state, where.job) and where not in changes:
-                if all(e.state != records.ASSIGNED for e in record.tasks):
-                    extra.append(Write(str(where), None))
+            over = not live(state, where.job) and where not in changes
+            if over and all(e.state != records.ASSIGNED for e in record.tasks):
+                extra.append(Write(str(where), None))
         pending: list[tuple[Write, str | None]] = [(w, None) for w in extra]
         for where, entries in changes.items():
-            record = state.zone_allots[part.zone].get(where)
-            if record is None:
+            changed = state.zone_allots[part.zone].get(where)
+            if changed is None:
                 continue
             starts = any(e.state == records.ASSIGNED for e in entries.values())
-            pending.append((Write(str(where), merged(record, entries)), where.job if starts else None))
+            pending.append((Write(str(where), merged(changed, entries)), where.job if starts else None))
         most, size = self.deployment.state.txn_ops, 0
         batch: list[tuple[Write, str | None]] = []
         for item in pending:
--- a/spurarch/coordination/machine.py
+++ b/spurarch/coordination/machine.py
@@ -117,6 +117,7 @@
     failures: int = 0
     avoid_until: float = 0.0
     returning: bool = False
+    emptying: bool = False  # consolidation lets its tasks end or move, and sends it no new ones
     return_after: float = 0.0
     direct_after: float = 0.0
     reported: int = 0  # tasks in the newest report
@@ -134,11 +135,15 @@
         return self.in_flight == 0 and self.token_seen >= self.fence
 
     def usable(self, now: float) -> bool:
-        """May take new tasks."""
+        """May take new tasks: it is willing, and on record as that."""
+        return self.open and self.willing(now)
+
+    def willing(self, now: float) -> bool:
+        """Nothing speaks against new tasks."""
         return (
             self.standing is Standing.KNOWN
-            and self.open
             and not self.returning
+            and not self.emptying
             and self.notice_until is None
             and now >= self.avoid_until
         )
--- a/spurarch/coordination/membership.py
+++ b/spurarch/coordination/membership.py
@@ -38,16 +38,13 @@
     out: dict[str, str] = {}
     for zone in zones:
         part = parts.get(zone)
-        alive = part is not None and part.node in members
         home = [m.node for m in members.values() if m.area == zone]
-        if alive and part is not None and (part.node in home or not settled.intersection(home)):
-            if home or load[part.node] <= min(load.values()) + 1:
-                continue
         choice = min(home or members, key=lambda node: (load[node], node), default=None)
         if choice is None or (part is not None and choice == part.node):
             continue
-        if alive and part is not None:
-            if choice not in settled:
+        if part is not None and part.node in load:
+            uneven = load[part.node] > load[choice] + 1
+            if part.node in home or choice not in settled or not (home or uneven):
                 continue
             load[part.node] -= 1
         load[choice] += 1
@@ -160,4 +157,3 @@
                 )  # fmt: skip
                 if outcome.verdict is Verdict.DONE:
                     log.info("holding part %s (epoch %d)", zone, record.epoch)
-    
--- a/spurarch/coordination/part.py
+++ b/spurarch/coordination/part.py
@@ -220,9 +220,9 @@
         for run in machine.runs.values():
             name = wire.task_name(*run.key)
             if run.stop:
-                if run.phase in (Phase.STARTING, Phase.FETCHING, Phase.RUNNING, Phase.STOPPING):
-                    if run.phase is not Phase.STOPPING or run.grace_s == 0:
-                        out.append(wire.Command(wire.STOP, name, run.attempt, run.grace_s))
+                saving = run.phase is Phase.STOPPING and run.grace_s > 0
+                if run.phase < Phase.EXITED and not saving:
+                    out.append(wire.Command(wire.STOP, name, run.attempt, run.grace_s))
             elif run.phase in (Phase.ASSIGNED, Phase.STARTING) and run.session == machine.session:
                 run.advance(Phase.STARTING)
                 out.append(wire.Command(wire.START, name, run.attempt))
@@ -315,12 +315,18 @@
 
     # Records going out
 
+    @staticmethod
+    def _is_service(state: State, run: TaskRun) -> bool:
+        """Replicas run until their job is cancelled, so one that ends by itself starts again."""
+        job = state.jobs.get(run.where.job)
+        return job is not None and job.spec.kind == wire.SERVICE
+
     def ends(self, state: State) -> dict[AllotKey, dict[int, TaskEntry]]:
         """Entries of tasks whose end or absence is proved and has to be recorded."""
         out: dict[AllotKey, dict[int, TaskEntry]] = {}
         for run in self.runs.values():
             if run.phase in (Phase.EXITED, Phase.GONE):
-                done = run.phase is Phase.EXITED and run.why == wire.WHY_DONE
+                done = run.phase is Phase.EXITED and run.why == wire.WHY_DONE and not self._is_service(state, run)
                 if not done and not live(state, run.where.job):
                     done = True  # nobody will want it again
                 new = records.ENDED if done else records.FREE
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -7,7 +7,7 @@
 
 from spurarch.bookkeeping import records
 from spurarch.bookkeeping.records import AllotKey, TaskEntry
-from spurarch.coordination.fit import Need, Room, best_fit
+from spurarch.coordination.fit import Need, Room, all_fit, best_fit
 from spurarch.coordination.machine import Phase, TaskRun
 from spurarch.coordination.part import Part, live
 from spurarch.coordination.view import FleetView, JobView
@@ -31,10 +31,19 @@
     def __init__(self) -> None:
         self._since: dict[tuple[str, int], float] = {}
         self._claims: dict[tuple[str, int], float] = {}
+        self.targets: dict[tuple[str, int], tuple[str, float]] = {}  # where a moved task goes, and until when
+
+    def _target(self, key: tuple[str, int], need: Need, view: FleetView, rooms: list[Room]) -> Room | None:
+        """The machine that the search chose for a moved task, if it still fits there."""
+        target = self.targets.get(key)
+        if target is None:
+            return None
+        return next((r for r in rooms if view.machines.name(r.machine) == target[0] and r.fits(need)), None)
 
     def run(self, part: Part, view: FleetView, now: float, out_of_time: Callable[[], bool], most: int) -> Placement:
         """One round; what the time or `most` changed allotments cut off comes first in the next."""
         result = Placement()
+        self.targets = {k: t for k, t in self.targets.items() if t[1] > now}
         zone = view.zones.index(part.zone)
         rooms = self._rooms(part, view, zone, now)
         waiting: set[tuple[str, int]] = set()
@@ -65,10 +74,11 @@
         result: Placement, waiting: set[tuple[str, int]],
     ) -> None:  # fmt: skip
         job = view.jobs[where.job]
-        full = False
+        # A gang starts as a whole or not at all.
+        full = job.gang and not all_fit(job.need, rooms, len(part.free[where]))
         for entry in part.free[where]:
             key = where.job, entry.index
-            room = None if full else best_fit(job.need, rooms)
+            room = None if full else self._target(key, job.need, view, rooms) or best_fit(job.need, rooms)
             if room is not None:
                 machine = part.machines[view.machines.name(room.machine)]
                 room.take(job.need)
--- /dev/null
+++ b/spurarch/coordination/refining.py
@@ -0,0 +1,133 @@
+"""The round's refinement of a part: Tabu search over service replicas, and consolidation. Pure."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import ceil
+from random import Random
+
+from spurarch.coordination.fit import Room, best_fit
+from spurarch.coordination.machine import Phase, Standing, TaskRun
+from spurarch.coordination.part import Part
+from spurarch.coordination.tabu import Replica, Search, SearchResult, Weights
+from spurarch.coordination.view import FleetView
+from spurarch.settings import Tuning
+
+
+@dataclass(slots=True)
+class Refinement:
+    """Moves (task and target machine) and a machine to be emptied."""
+
+    moves: list[tuple[TaskRun, str]] = field(default_factory=list)
+    empty: str | None = None
+    search: SearchResult | None = None
+
+
+def movable(part: Part, view: FleetView, tuning: Tuning) -> set[tuple[str, int]]:
+    """Running service replicas that may stop without their service falling below its minimum.
+
+    A replica without work to go back to stays while its job is cancelled; one replica of a service moves at a time.
+    """
+    running: Counter[str] = Counter()
+    stopping: set[str] = set()
+    for run in part.runs.values():
+        if run.stop or run.phase is not Phase.RUNNING:
+            stopping.add(run.where.job)
+    for ref, job in view.jobs.items():
+        if job.service:
+            running[ref] = job.assigned
+    out = set()
+    for key, run in part.runs.items():
+        job_view = view.jobs.get(run.where.job)
+        if job_view is None or not job_view.service or run.where.job in stopping:
+            continue
+        if running[run.where.job] - 1 >= ceil(job_view.tasks * tuning.service_minimum):
+            out.add(key)
+            running[run.where.job] = 0  # one at a time
+    return out
+
+
+def refine(part: Part, view: FleetView, tuning: Tuning, now: float, random: Random, late: Callable[[], bool]) -> Refinement:
+    """One round of a part."""
+    out = Refinement()
+    names, rooms, tasks, runs = _tables(part, view, tuning)
+    if tuning.consolidation_cap > 0 and not part.free:
+        out.empty = _to_empty(part, names, rooms, tasks, tuning, now)
+    emptying = frozenset(i for i, name in enumerate(names) if part.machines[name].emptying or name == out.empty)
+    if out.empty is not None:
+        out.moves += _move_off(names, rooms, tasks, runs, names.index(out.empty), emptying, tuning)
+    if any(t.movable for t in tasks) and len(out.moves) < tuning.moves_per_round:
+        weights = Weights(tuning.edge_weight, tuning.imbalance_weight, tuning.move_weight)
+        search = Search(rooms, tasks, emptying, weights)
+        out.search = search.run(
+            random, tuning.tabu_iterations, tuning.tabu_patience, tuning.tabu_tenure,
+            tuning.moves_per_round - len(out.moves), tuning.margin, late,
+        )  # fmt: skip
+        out.moves += [(runs[m.task], names[m.target]) for m in out.search.moves]
+    return out
+
+
+def _tables(part: Part, view: FleetView, tuning: Tuning) -> tuple[list[str], list[Room], list[Replica], list[TaskRun]]:
+    """Dense tables of the part's machines and of the tasks on them."""
+    names: list[str] = []
+    rooms: list[Room] = []
+    for room in view.rooms.values():
+        name = view.machines.name(room.machine)
+        machine = part.machines.get(name)
+        if machine is not None and machine.standing is Standing.KNOWN and not machine.returning:
+            names.append(name)
+            rooms.append(room.copy())
+    index = {name: i for i, name in enumerate(names)}
+    free_to_move = movable(part, view, tuning)
+    tasks: list[Replica] = []
+    runs: list[TaskRun] = []
+    for key, run in part.runs.items():
+        job = view.jobs.get(run.where.job)
+        if job is not None and run.machine in index and run.phase < Phase.EXITED:
+            at = index[run.machine]
+            tasks.append(Replica(len(runs), job.need, at, at, key in free_to_move, job.service))
+            runs.append(run)
+    for i, name in enumerate(names):
+        if not part.machines[name].open:
+            rooms[i].free_cpus = -1.0  # takes nothing
+    return names, rooms, tasks, runs
+
+
+def _to_empty(
+    part: Part, names: list[str], rooms: list[Room], tasks: list[Replica], tuning: Tuning, now: float
+) -> str | None:
+    """The least booked machine, if all that must leave it may, and the rest stays under the cap of booked CPU."""
+    open_rooms = [i for i, name in enumerate(names) if part.machines[name].usable(now)]
+    booked = sum(rooms[i].cpus - rooms[i].free_cpus for i in open_rooms)
+    total = sum(rooms[i].cpus for i in open_rooms)
+    held: dict[int, list[Replica]] = {}
+    for task in tasks:
+        held.setdefault(task.at, []).append(task)
+    for i in sorted(open_rooms, key=lambda i: rooms[i].cpus - rooms[i].free_cpus):
+        mine = held.get(i, [])
+        if not mine or booked > tuning.consolidation_cap * (total - rooms[i].cpus):
+            continue
+        if all(t.movable or not t.service for t in mine):
+            return names[i]
+    return None
+
+
+def _move_off(
+    names: list[str], rooms: list[Room], tasks: list[Replica], runs: list[TaskRun], source: int,
+    emptying: frozenset[int], tuning: Tuning,
+) -> list[tuple[TaskRun, str]]:  # fmt: skip
+    """Moves of the replicas on a machine that is emptied; its other tasks run to their end there."""
+    out: list[tuple[TaskRun, str]] = []
+    for task in tasks:
+        if task.at != source or not task.movable or len(out) >= tuning.moves_per_round:
+            continue
+        targets = [r for i, r in enumerate(rooms) if i not in emptying and r.tasks > 0]
+        room = best_fit(task.need, targets)
+        if room is not None:
+            room.take(task.need)
+            rooms[source].give(task.need)
+            task.movable = False
+            out.append((runs[task.task], names[rooms.index(room)]))
+    return out
--- a/spurarch/coordination/renting.py
+++ b/spurarch/coordination/renting.py
@@ -54,16 +54,16 @@
     for shortage in sorted(shortages, key=lambda s: (s.need.priority, s.due if s.due is not None else math.inf)):
         left = shortage.count
         while left > 0:
-            room = best_fit(shortage.need, rooms)
-            if room is None:
+            found = best_fit(shortage.need, rooms)
+            if found is None:
                 kind = _cheapest(view, shortage.need, left, closed, zones, per_zone)
                 if kind is None:
                     break
                 held[kind] += 1
-                room = room_of(view, view.offers[kind.type], kind)
-                per_zone[room.zone] += 1
-                rooms.append(room)
-            room.take(shortage.need)
+                found = room_of(view, view.offers[kind.type], kind)
+                per_zone[found.zone] += 1
+                rooms.append(found)
+            found.take(shortage.need)
             left -= 1
     return [Order(kind, min(count, MOST_AT_ONCE)) for kind, count in held.items()]
 
--- a/spurarch/coordination/tabu.py
+++ b/spurarch/coordination/tabu.py
@@ -3,7 +3,7 @@
 It minimises alpha*EC + beta*IB + gamma*DV of the paper's Eq. 4. EC is zero here, since no traffic is known. IB is the
 mean relative gap between each machine's booked CPU, GPU and memory and their averages, over the machines that hold
 tasks and are not being emptied. DV is the share of moved tasks. Moves keep within capacity, never target an empty
-machine, and an entry of the tabu list is lifted when it would beat the best solution so far (aspiration).
+machine or one that would first have to fetch the image, and an entry of the tabu list is lifted when it would beat the best solution so far (aspiration).
 """
 
 from __future__ import annotations
@@ -33,6 +33,7 @@
     at: int  # index into the rooms
     home: int
     movable: bool
+    service: bool = True
 
 
 @dataclass(slots=True, frozen=True)
@@ -142,7 +143,8 @@
                 continue
             source = task.at
             for target in self._counted():
-                if target == source or not self.rooms[target].fits(task.need):
+                room = self.rooms[target]
+                if target == source or not room.fits(task.need) or task.need.image not in room.images:
                     continue
                 self._shift(task, target)
                 cost = self.cost()
--- a/spurarch/coordination/users.py
+++ b/spurarch/coordination/users.py
@@ -88,7 +88,7 @@
         team = self._teams.get(spec.team)
         if team is None:
             return error(422, "crew: unknown team")
-        count = spec.tasks if spec.kind == wire.SERVICE else 1
+        count = 1 if spec.kind == wire.BATCH else spec.tasks
         if 0 < team.cpus_max < spec.cpus * count - 1e-6 or 0 < team.gpus_max < spec.gpus * count - 1e-6:
             return error(422, "the job needs more than its team's limit")
         if spec.zone is not None and spec.zone not in self._zones:
--- a/spurarch/coordination/view.py
+++ b/spurarch/coordination/view.py
@@ -27,6 +27,7 @@
     need: Need
     team: int
     service: bool
+    gang: bool
     tasks: int
     spread_limit: int | None
     one_zone: bool
@@ -114,9 +115,10 @@
             need,
             self.teams.index(spec.team),
             spec.kind == wire.SERVICE,
+            spec.kind == wire.GANG,
             spec.tasks,
             (spec.tasks + 1) // 2 if spec.spread else None,
-            spec.one_zone,
+            spec.one_zone or spec.kind == wire.GANG,
             record.at + spec.deadline_s if spec.deadline_s is not None else None,
             record.at,
             spec.estimate_s,
--- a/spurarch/protocol/wire.py
+++ b/spurarch/protocol/wire.py
@@ -35,11 +35,11 @@
 PATH_GRANTS = "/grants"
 PATH_EXTEND = "extend"
 
-BATCH, SERVICE = "batch", "daemon"
+BATCH, GANG, SERVICE = "batch", "gang", "daemon"
 PRIORITIES = {"production": 0, "high": 1, "normal": 2, "low": 3}
 QUEUED, RUNNING, DONE, CANCELLED = "pending", "running", "done", "aborted"
 
-FETCHING, SAVING, EXITED = "fetching", "saving", "ended"
+FETCHING, GATHERING, SAVING, EXITED = "fetching", "gathering", "saving", "ended"
 WHY_DONE, WHY_STOPPED, WHY_ERROR = "done", "halted", "error"
 WHY_NO_ROOM, WHY_BUSY, WHY_UNKNOWN = "full", "in_use", "no_such"
 
@@ -53,7 +53,7 @@
     id: Name = field(name="ref")
     job_class: Annotated[str, Meta(max_length=200)] = field(name="circuit")
     team: Annotated[str, Meta(max_length=200)] = field(name="crew")
-    kind: Annotated[str, Meta(pattern="^(batch|daemon)$")] = field(name="gait")
+    kind: Annotated[str, Meta(pattern="^(batch|gang|daemon)$")] = field(name="gait")
     priority: Annotated[str, Meta(pattern="^(production|high|normal|low)$")] = field(name="precedence")
     tasks: Annotated[int, Meta(ge=1, le=MAX_TASKS)] = field(name="legs")
     cpus: Amount = field(name="vcpus")
--- a/spurarch/settings.py
+++ b/spurarch/settings.py
@@ -126,6 +126,7 @@
     tabu_iterations: Annotated[int, Meta(ge=1, le=10000)] = 60
     tabu_patience: Annotated[int, Meta(ge=1, le=10000)] = 12
     consolidation_cap: Share = 0.7
+    service_minimum: Share = 0.5
     budget_ms: Positive = 25.0
     member_ttl_s: Annotated[float, Meta(ge=0.5, le=600)] = 4.0
     idle_return_s: NotNegative = 40.0
--- a/spurarch/transport/http.py
+++ b/spurarch/transport/http.py
@@ -163,9 +163,8 @@
         """Sends one request and returns status and body, or raises NoAnswer."""
         state = [False]
         try:
-            async with curio.timeout_after(timeout_s):
-                async with self._slots:
-                    return await self._exchange(method, target, body, state)
+            async with curio.timeout_after(timeout_s), self._slots:
+                return await self._exchange(method, target, body, state)
         except curio.TaskTimeout:
             raise NoAnswer("timed out", state[0]) from None
         except (OSError, h11.ProtocolError) as err:
