--- a/spurarch/bookkeeping/cloud.py
+++ b/spurarch/bookkeeping/cloud.py
@@ -10,7 +10,8 @@
 
 from spurarch.bookkeeping.limits import TokenBucket
 from spurarch.protocol import wire
-from spurarch.transport.http import HttpClient, NoAnswer
+from spurarch.transport.http import NoAnswer
+from spurarch.transport.network import Requests
 
 log = logging.getLogger(__name__)
 
@@ -32,8 +33,8 @@
 class Cloud:
     """The cloud, as one controller sees it."""
 
-    def __init__(self, address: str, rps: float, controllers: int) -> None:
-        self._client = HttpClient(address, max_connections=6)
+    def __init__(self, client: Requests, rps: float, controllers: int) -> None:
+        self._client = client
         self._bucket = TokenBucket(rps * 0.6 if controllers > 1 else rps * 0.9, max(1.0, rps))
 
     async def _call(self, method: str, target: str, body: bytes | None) -> tuple[int, bytes]:
--- a/spurarch/bookkeeping/store.py
+++ b/spurarch/bookkeeping/store.py
@@ -12,7 +12,8 @@
 
 from spurarch.bookkeeping.limits import TokenBucket
 from spurarch.protocol import wire
-from spurarch.transport.http import HttpClient, NoAnswer
+from spurarch.transport.http import NoAnswer
+from spurarch.transport.network import Requests
 
 log = logging.getLogger(__name__)
 
@@ -55,8 +56,8 @@
     rarely busy at once, and backs off on 429.
     """
 
-    def __init__(self, address: str, rps: float, write_rps: float, controllers: int) -> None:
-        self._client = HttpClient(address, max_connections=24)
+    def __init__(self, client: Requests, rps: float, write_rps: float, controllers: int) -> None:
+        self._client = client
         share = RATE_SHARE if controllers > 1 else 0.9
         self._requests = TokenBucket(rps * share, rps * share)
         self._writes = TokenBucket(write_rps * share, write_rps * share)
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -20,8 +20,8 @@
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import hints, wire
 from spurarch.settings import Platform, Tuning
-from spurarch.transport.frames import FrameClient, FrameServer
-from spurarch.transport.http import HttpServer, Request, Response
+from spurarch.transport.http import Request, Response
+from spurarch.transport.network import Calls, Network
 
 log = logging.getLogger(__name__)
 
@@ -33,13 +33,15 @@
 class Controller:
     """Wires the layers together and runs until it is killed."""
 
-    def __init__(self, platform: Platform, tuning: Tuning) -> None:
+    def __init__(self, platform: Platform, tuning: Tuning, network: Network | None = None) -> None:
         self.platform, self.tuning = platform, tuning
+        self.network = network = network or Network()
         deployment = platform.deployment
         self.boot = secrets.token_hex(8)
         external = platform.external
-        self.store = Store(external.state, deployment.state.rps, deployment.state.write_rps, deployment.count)
-        self.cloud = Cloud(external.cloud, deployment.cloud.rps, deployment.count)
+        limits = deployment.state
+        self.store = Store(network.client(external.state, 24), limits.rps, limits.write_rps, deployment.count)
+        self.cloud = Cloud(network.client(external.cloud, 6), deployment.cloud.rps, deployment.count)
         self.replica = Replica(self.store)
         self.membership = Membership(
             self.replica, platform.node, self.boot, platform.area, deployment.zones, tuning.member_ttl_s
@@ -48,13 +50,13 @@
         self.reach = Reach([p.node for p in platform.peers], workers.cancel_s, workers.lease_s)
         self.view = FleetView(self.replica.state, [t.name for t in deployment.teams])
         self.holder = Holder(
-            self.replica, self.membership, self.view, self.cloud, self.reach, deployment, tuning
+            self.replica, self.membership, self.view, self.cloud, self.reach, deployment, tuning, network
         )  # fmt: skip
         self.leader = Leader(
             self.replica, self.membership, self.view, self.cloud, deployment, tuning, self.boot, self._wake
         )
         self.users = Users(self.replica, self.view, deployment.teams, deployment.zones)
-        self._peers = {p.node: FrameClient(p.address) for p in platform.peers}
+        self._peers = {p.node: network.back_client(p.address) for p in platform.peers}
         self._waking = curio.Event()
 
     async def run(self) -> None:
@@ -62,8 +64,8 @@
         platform = self.platform
         most = max(16, platform.deployment.limits.sockets - SOCKETS_RESERVED)
         tasks = [
-            HttpServer(platform.listen, self.handle, most).run,
-            FrameServer(platform.back, self.on_frame, 32).run,
+            self.network.server(platform.listen, self.handle, most).run,
+            self.network.back_server(platform.back, self.on_frame, 32).run,
             self.membership.run_lease,
             self._start,
             self.replica.run_sync,
@@ -174,7 +176,7 @@
                     await curio.spawn(self._ping, node, client, frame, daemon=True)
                 await curio.sleep(PING_S - 0.5)
 
-    async def _ping(self, node: str, client: FrameClient, frame: bytes) -> None:
+    async def _ping(self, node: str, client: Calls, frame: bytes) -> None:
         sent = time.monotonic()
         answer = await client.call(frame, 2.0)
         hint = hints.decode(answer) if answer is not None else None
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -24,7 +24,8 @@
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import Deployment, Tuning
-from spurarch.transport.http import HttpClient, NoAnswer
+from spurarch.transport.http import NoAnswer
+from spurarch.transport.network import Network, Requests
 
 log = logging.getLogger(__name__)
 
@@ -49,14 +50,15 @@
 
     def __init__(
         self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, reach: Reach,
-        deployment: Deployment, tuning: Tuning,
+        deployment: Deployment, tuning: Tuning, network: Network,
     ) -> None:  # fmt: skip
+        self._network = network
         self.replica, self.membership, self.view = replica, membership, view
         self.cloud, self.reach, self.deployment, self.tuning = cloud, reach, deployment, tuning
         self.held: dict[str, Held] = {}
         self._bell = replica.listen()
         self._dirty = replica.state.subscribe()
-        self._clients: dict[str, HttpClient] = {}
+        self._clients: dict[str, Requests] = {}
         self._returning: set[str] = set()
         self._random = Random(tuning.seed)
 
@@ -293,7 +295,7 @@
         if client is None:
             while len(self._clients) >= CLIENTS_KEPT:
                 self._clients.pop(next(iter(self._clients)))
-            client = self._clients[machine.addr] = HttpClient(machine.addr, max_connections=2)
+            client = self._clients[machine.addr] = self._network.client(machine.addr, 2)
         try:
             status, answer = await client.request("POST", wire.PATH_COMMANDS, wire.encode(sent), DIRECT_S)
         except NoAnswer as err:
--- /dev/null
+++ b/tests/sim/fleet.py
@@ -0,0 +1,354 @@
+"""Stand-ins for the cloud and the workers, written from their published protocols, and a checker of the rules."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import curio
+
+from spurarch.transport.http import NoAnswer, Request, Response
+from tests.sim.clock import Clock
+from tests.sim.net import Wire
+from tests.sim.store import answer
+
+
+@dataclass
+class SimTask:
+    """One task on a worker."""
+
+    name: str
+    attempt: int
+    state: str
+    ready_at: float
+    ends_at: float | None
+    why: str | None = None
+
+
+@dataclass
+class Kind:
+    """A machine type."""
+
+    name: str
+    cpus: float
+    memory: float
+    boot: float
+    capacity: int
+
+
+@dataclass
+class Rules:
+    """Broken rules as users would count them."""
+
+    broken: list[str] = field(default_factory=list)
+    started: int = 0
+
+
+class World:
+    """Jobs as users submitted them, machines as they are."""
+
+    def __init__(self, clock: Clock, wire: Wire, report_s: float, lease_s: float, cancel_s: float) -> None:
+        self.clock, self.wire = clock, wire
+        self.report_s, self.lease_s, self.cancel_s = report_s, lease_s, cancel_s
+        self.jobs: dict[str, dict[str, Any]] = {}
+        self.run_s: dict[str, float] = {}
+        self.done: dict[str, set[int]] = {}
+        self.cancelled_at: dict[str, float] = {}
+        self.limits: dict[str, float] = {}
+        self.workers: dict[str, Worker] = {}
+        self.rules = Rules()
+
+    def on_machines(self) -> Iterator[tuple[Worker, SimTask]]:
+        """All tasks that run."""
+        for worker in self.workers.values():
+            for task in worker.tasks.values():
+                if worker.up and task.state in ("running", "saving"):
+                    yield worker, task
+
+    def break_rule(self, text: str) -> None:
+        """Notes a broken rule."""
+        self.rules.broken.append(f"at {self.clock.now - 1000:.2f}: {text}")
+
+    def check_start(self, worker: Worker, task: SimTask) -> None:
+        """The rules at the moment when a task starts."""
+        self.rules.started += 1
+        job, index = task.name.split("/")
+        spec = self.jobs[job]
+        others = [(w, t) for w, t in self.on_machines() if t is not task]
+        for other, held in others:
+            if held.name == task.name:
+                self.break_rule(f"ran_twice: {task.name} on {other.name} and {worker.name}")
+        if spec["builds"] is not None and worker.kind.name not in spec["builds"]:
+            self.break_rule(f"wrong_place: type of {task.name}")
+        if spec["district"] not in (None, worker.zone) or (worker.spot and not spec["lendable"]):
+            self.break_rule(f"wrong_place: zone or kind of {task.name}")
+        zones = [w.zone for w, t in others if t.name.split("/")[0] == job]
+        if spec["together"] and any(z != worker.zone for z in zones):
+            self.break_rule(f"wrong_place: {task.name} is apart from its job")
+        if spec["spread"] and zones.count(worker.zone) + 1 > (spec["legs"] + 1) // 2:
+            self.break_rule(f"wrong_place: spread of {task.name}")
+        limit = self.limits.get(spec["crew"], 0.0)
+        used = spec["vcpus"] + sum(
+            self.jobs[t.name.split("/")[0]]["vcpus"]
+            for _, t in others
+            if self.jobs[t.name.split("/")[0]]["crew"] == spec["crew"]
+        )
+        if limit and used > limit + 1e-6:
+            self.break_rule(f"quota: {spec['crew']} uses {used}")
+        self.check_cancelled(task)
+
+    def check_cancelled(self, task: SimTask) -> None:
+        """No task of a job is left `cancel_s` after its user was told."""
+        told = self.cancelled_at.get(task.name.split("/")[0])
+        if told is not None and self.clock.now > told + self.cancel_s:
+            self.break_rule(f"ran_cancelled: {task.name}")
+
+
+class Worker:
+    """One machine with its worker."""
+
+    def __init__(self, world: World, name: str, kind: Kind, zone: str, spot: bool, nodes: list[tuple[str, str]]) -> None:
+        self.world, self.name, self.kind, self.zone, self.spot = world, name, kind, zone, spot
+        self.addr = f"10.1.0.{name[3:].lstrip('0') or '0'}:9000"
+        self.nodes, self.node = nodes, 0
+        self.up = True
+        self.hang_until = 0.0
+        self.sick = False
+        self.session, self.seq, self.token = 1, 0, 0
+        self.renewed = world.clock.now
+        self.tasks: dict[str, SimTask] = {}
+        self.images: set[str] = set()
+        self.notice_until: float | None = None
+        self._news = False
+        world.wire.hosts[self.addr] = name
+        world.wire.handlers[self.addr] = self.serve
+
+    def report(self) -> dict[str, Any]:
+        """What the worker says of itself."""
+        self.seq += 1
+        now = self.world.clock.now
+        legs = [
+            {"leg": t.name, "try": t.attempt, "standing": t.state, **({"cause": t.why} if t.why else {})}
+            for t in self.tasks.values()
+        ]
+        warning = None if self.notice_until is None else max(0.0, self.notice_until - now)
+        return {
+            "croft": self.name, "addr": self.addr, "build": self.kind.name, "district": self.zone,
+            "lendable": self.spot, "tenure": self.session, "tally": self.seq, "baton": self.token,
+            "warning_s": warning, "legs": legs,
+        }  # fmt: skip
+
+    async def serve(self, request: Request) -> Response:
+        """The worker's own address."""
+        while self.world.clock.now < self.hang_until:
+            await curio.sleep(0.1)
+        self.step()
+        if not self.up:
+            await curio.sleep(60)
+        if request.target == "/status":
+            return answer(200, self.report())
+        body = json.loads(request.body)
+        if body["baton"] < self.token or body["tenure"] != self.session:
+            return answer(409, self.report())
+        self._see(body["baton"])
+        self.execute(body["orders"])
+        return answer(200, self.report())
+
+    def _see(self, token: int) -> None:
+        if token > self.token:
+            self.token, self._news = token, True
+
+    def execute(self, orders: list[dict[str, Any]]) -> None:
+        """Carries out commands in order."""
+        for order in orders:
+            name, attempt = order["leg"], order["try"]
+            held = self.tasks.get(name)
+            if order["verb"] == "run":
+                if held is None or (held.state == "ended" and held.attempt != attempt):
+                    self._start(name, attempt)
+            elif order["verb"] == "halt" and held is not None and held.attempt == attempt and held.state != "ended":
+                held.state, held.why, self._news = "ended", "halted", True
+            elif order["verb"] == "forget" and held is not None and held.attempt == attempt and held.state == "ended":
+                del self.tasks[name]
+
+    def _start(self, name: str, attempt: int) -> None:
+        now, job = self.world.clock.now, name.split("/")[0]
+        self._news = True
+        spec = self.world.jobs.get(job)
+        task = SimTask(name, attempt, "fetching", now, None)
+        self.tasks[name] = task
+        if spec is None:
+            task.state, task.why = "ended", "no_such"
+            return
+        used = sum(
+            self.world.jobs[t.name.split("/")[0]]["vcpus"]
+            for t in self.tasks.values()
+            if t.state != "ended" and t is not task
+        )
+        if used + spec["vcpus"] > self.kind.cpus + 1e-6:
+            task.state, task.why = "ended", "full"
+            return
+        task.ready_at = now + (0.0 if spec["kit"] in self.images else spec["pull_gb"])
+
+    def step(self) -> None:
+        """What time does to the worker."""
+        now = self.world.clock.now
+        if not self.up or now < self.hang_until:
+            return
+        if now - self.renewed > self.world.lease_s:
+            self.tasks.clear()
+            self.session += 1
+            self.renewed, self._news = now, True
+        for task in self.tasks.values():
+            job, index = task.name.split("/")
+            if task.state == "fetching" and now >= task.ready_at:
+                self.images.add(self.world.jobs[job]["kit"])
+                if self.sick:
+                    task.state, task.why, self._news = "ended", "error", True
+                    continue
+                task.state, self._news = "running", True
+                self.world.check_start(self, task)
+                finished = int(index) in self.world.done.setdefault(job, set())
+                if self.world.jobs[job]["gait"] != "daemon":
+                    task.ends_at = now if finished else now + self.world.run_s[job]
+            if task.state == "running":
+                self.world.check_cancelled(task)
+                if task.ends_at is not None and now >= task.ends_at:
+                    task.state, task.why, self._news = "ended", "done", True
+                    self.world.done.setdefault(job, set()).add(int(index))
+
+    async def run(self) -> None:
+        """Reports until the machine is gone."""
+        clock = self.world.clock
+        last = -1e9
+        while self.up:
+            await curio.sleep(0.05)
+            if clock.now < self.hang_until:
+                continue
+            self.step()
+            due = clock.now - last >= self.world.report_s or (self._news and clock.now - last >= 0.5)
+            if due and self.up:
+                last, self._news = clock.now, False
+                await self._beat()
+
+    async def _beat(self) -> None:
+        sent, session = self.world.clock.now, self.session
+        name, address = self.nodes[self.node]
+        body = json.dumps(self.report()).encode()
+        try:
+            response = await self.world.wire.request(self.name, address, Request("POST", "/agent/beat", body), 4.0)
+        except NoAnswer:
+            await self._next_node()
+            return
+        while self.world.clock.now < self.hang_until:
+            await curio.sleep(0.1)
+        self.step()
+        if response.status == 421:
+            steward = json.loads(response.body).get("steward")
+            names = [node for node, _ in self.nodes]
+            if steward in names and steward != name:
+                self.node = names.index(steward)
+                await curio.sleep(0.2)
+            else:
+                await self._next_node()
+        elif response.status != 200:
+            await self._next_node()
+        else:
+            answered = json.loads(response.body)
+            if answered["baton"] < self.token or session != self.session:
+                return
+            self._see(answered["baton"])
+            self.renewed = max(self.renewed, sent)
+            self.execute(answered["orders"])
+
+    async def _next_node(self) -> None:
+        self.node = (self.node + 1) % len(self.nodes)
+        await curio.sleep(1.0)
+
+    def die(self) -> None:
+        """The machine is gone with all that was on it."""
+        self.up = False
+        self.tasks.clear()
+        self.world.wire.handlers.pop(self.addr, None)
+
+
+class FakeCloud:
+    """Rents and returns machines."""
+
+    def __init__(self, world: World, zones: list[str], nodes: list[tuple[str, str]], lag_s: float) -> None:
+        self.world, self.zones, self.nodes, self.lag_s = world, zones, nodes, lag_s
+        self.kinds: dict[str, Kind] = {}
+        self.hires: dict[str, list[str]] = {}
+        self.machines: dict[str, dict[str, Any]] = {}
+        self.never_up = 0
+        self.calls: list[float] = []
+        self._next = 1
+
+    def add(self, kind: Kind, zone: str, spot: bool, boot: float) -> str:
+        """A new machine."""
+        name = f"vm-{self._next:06d}"
+        self._next += 1
+        at = self.world.clock.now
+        self.machines[name] = {"kind": kind, "zone": zone, "spot": spot, "at": at, "up_at": at + boot, "gone": False}
+        if self.never_up > 0:
+            self.never_up -= 1
+            self.machines[name]["up_at"] = 1e18
+        return name
+
+    async def run(self) -> None:
+        """Brings machines up."""
+        while True:
+            for name, m in self.machines.items():
+                if not m["gone"] and name not in self.world.workers and self.world.clock.now >= m["up_at"]:
+                    worker = Worker(self.world, name, m["kind"], m["zone"], m["spot"], self.nodes)
+                    self.world.workers[name] = worker
+                    await curio.spawn(worker.run, daemon=True)
+            await curio.sleep(0.1)
+
+    async def handle(self, request: Request) -> Response:
+        """The cloud's API."""
+        url = urlsplit(request.target)
+        if url.path == "/machine_types":
+            return answer(200, {"builds": [
+                {"sku": k.name, "vcpus": k.cpus, "gpus": 0, "memory_gb": k.memory, "local_gb": 40.0,
+                 "fetch_gb_per_s": 1.0, "hourly": k.cpus / 10, "spot_price": k.cpus / 30, "boot_s": k.boot,
+                 "districts": self.zones}
+                for k in self.kinds.values()
+            ]})  # fmt: skip
+        if url.path == "/machines/release":
+            for name in json.loads(request.body)["crofts"]:
+                if name in self.machines:
+                    self.machines[name]["gone"] = True
+                if name in self.world.workers:
+                    self.world.workers[name].die()
+            return answer(200, {})
+        if request.method == "POST":
+            return self._rent(json.loads(request.body))
+        return self._list({k: v[0] for k, v in parse_qs(url.query).items()})
+
+    def _rent(self, body: dict[str, Any]) -> Response:
+        if body["hire"] in self.hires:
+            return answer(200, {"crofts": self.hires[body["hire"]]})
+        kind = self.kinds[body["build"]]
+        held = sum(m["kind"] is kind and m["zone"] == body["district"] and not m["gone"] for m in self.machines.values())
+        count = min(body["how_many"], kind.capacity - held)
+        if count <= 0:
+            return answer(503, {"error": "no capacity"})
+        names = [self.add(kind, body["district"], body["lendable"], kind.boot) for _ in range(count)]
+        self.hires[body["hire"]] = names
+        return answer(200, {"crofts": names})
+
+    def _list(self, query: dict[str, str]) -> Response:
+        then = self.world.clock.now - self.lag_s
+        out = []
+        for name, m in sorted(self.machines.items()):
+            worker = self.world.workers.get(name)
+            if name <= query.get("from", "") or m["at"] > then or m["gone"]:
+                continue
+            state = "booting" if worker is None else "running" if worker.up else "failed"
+            out.append({"ref": name, "addr": "", "build": m["kind"].name, "district": m["zone"],
+                        "lendable": m["spot"], "standing": state, "held_s": then - m["at"]})  # fmt: skip
+        return answer(200, {"crofts": out, "has_next": False})
--- /dev/null
+++ b/tests/sim/store.py
@@ -0,0 +1,155 @@
+"""Stand-in for the state service, written from its published protocol."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import curio
+
+from spurarch.transport.http import Request, Response
+from tests.sim.clock import Clock
+
+
+def answer(status: int, body: object) -> Response:
+    """A JSON response."""
+    return Response(status, json.dumps(body).encode())
+
+
+class FakeStore:
+    """Keys, leases, transactions and watches, with the published limits."""
+
+    def __init__(self, clock: Clock, rps: float, write_rps: float, value_kb: float, txn_ops: int) -> None:
+        self.clock = clock
+        self.keys: dict[str, tuple[Any, int, int | None]] = {}
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.revision = 0
+        self.events: list[tuple[int, dict[str, Any]]] = []
+        self.outage_until = 0.0
+        self.refused: dict[str, float] = {}
+        self.lose_answers_until = 0.0
+        self.throttled = 0
+        self.faults: list[str] = []
+        self._rates = {"requests": (rps, rps, clock.now), "writes": (write_rps, write_rps, clock.now)}
+        self._value_bytes, self._txn_ops = value_kb * 1024, txn_ops
+        self._next_lease = 1
+
+    def _take(self, what: str, amount: int) -> bool:
+        rate, level, at = self._rates[what]
+        level = min(rate, level + (self.clock.now - at) * rate)
+        good = level >= amount
+        self._rates[what] = rate, level - amount if good else level, self.clock.now
+        self.throttled += not good
+        return good
+
+    def outage(self, seconds: float) -> None:
+        """Down for a while; afterwards every lease has its full time."""
+        self.outage_until = self.clock.now + seconds
+        for lease, (ttl, _) in self.leases.items():
+            self.leases[lease] = ttl, self.outage_until + ttl
+
+    def expire(self) -> None:
+        """Drops the keys of leases that ran out."""
+        if self.clock.now < self.outage_until:
+            return
+        for lease, (_, end) in list(self.leases.items()):
+            if self.clock.now >= end:
+                del self.leases[lease]
+                gone = [key for key, (_, _, owner) in self.keys.items() if owner == lease]
+                if gone:
+                    self.revision += 1
+                for key in gone:
+                    del self.keys[key]
+                    self.events.append((self.revision, {"drop": key, "stamp": self.revision}))
+
+    def handler_for(self, host: str) -> Any:
+        """The service as one host reaches it."""
+
+        async def handle(request: Request) -> Response:
+            self.expire()
+            url = urlsplit(request.target)
+            query = {k: v[0] for k, v in parse_qs(url.query).items()}
+            down = self.clock.now < max(self.outage_until, self.refused.get(host, 0.0))
+            if url.path == "/watch" and not down:
+                return await self._watch(host, query)
+            if down:
+                return answer(503, {"error": "trouble"})
+            if not self._take("requests", 1):
+                return answer(429, {"error": "rate"})
+            response = self._serve(request, url.path, query)
+            if self.clock.now < self.lose_answers_until:
+                await curio.sleep(60)
+            return response
+
+        return handle
+
+    def _serve(self, request: Request, path: str, query: dict[str, str]) -> Response:
+        if path == "/txn":
+            return self._txn(json.loads(request.body))
+        if path == "/grants":
+            self._next_lease += 1
+            ttl = json.loads(request.body)["life_ms"] / 1000
+            self.leases[self._next_lease] = ttl, self.clock.now + ttl
+            return answer(200, {"tether": self._next_lease})
+        if path.startswith("/grants/"):
+            lease = int(path.split("/")[2])
+            if lease not in self.leases:
+                return answer(404, {})
+            ttl = self.leases[lease][0]
+            self.leases[lease] = ttl, self.clock.now + ttl
+            return answer(200, {})
+        if path == "/kv":
+            return self._list(query)
+        key = path.removeprefix("/kv/")
+        if key not in self.keys:
+            return answer(404, {"ledger": self.revision})
+        value, stamp, lease_id = self.keys[key]
+        return answer(200, {"key": key, "value": value, "stamp": stamp, "tether": lease_id})
+
+    def _list(self, query: dict[str, str]) -> Response:
+        names = sorted(k for k in self.keys if k.startswith(query["prefix"]) and k > query.get("from", ""))
+        most = min(1000, int(query.get("most", 1000)))
+        items = [{"key": k, "value": self.keys[k][0], "stamp": self.keys[k][1]} for k in names[:most]]
+        return answer(200, {"items": items, "has_next": len(names) > most, "ledger": self.revision})
+
+    def _txn(self, body: dict[str, Any]) -> Response:
+        ops, guards = body["then"], body["guards"]
+        size = len(json.dumps(body))
+        values = [len(json.dumps(op["value"])) for op in ops if "write" in op]
+        if len(ops) > self._txn_ops or len(guards) > 4 * self._txn_ops or size > 65536:
+            self.faults.append(f"transaction too large: {len(ops)} changes, {len(guards)} guards, {size} bytes")
+        if any(v > self._value_bytes for v in values):
+            self.faults.append("value too large")
+        if not self._take("writes", len(ops)):
+            return answer(429, {"error": "rate"})
+        for op in ops:
+            if op.get("tether") is not None and op["tether"] not in self.leases:
+                return answer(400, {"error": "no such lease"})
+        failed = [g["key"] for g in guards if (self.keys[g["key"]][1] if g["key"] in self.keys else 0) != g["stamp"]]
+        if failed:
+            return answer(409, {"failed": failed, "ledger": self.revision})
+        if ops:
+            self.revision += 1
+        for op in ops:
+            if "write" in op:
+                self.keys[op["write"]] = op["value"], self.revision, op.get("tether")
+                self.events.append((self.revision, {**op, "stamp": self.revision}))
+            else:
+                self.keys.pop(op["drop"], None)
+                self.events.append((self.revision, {**op, "stamp": self.revision}))
+        return answer(200, {"ledger": self.revision})
+
+    async def _watch(self, host: str, query: dict[str, str]) -> Response:
+        if not self._take("requests", 1):
+            return answer(429, {"error": "rate"})
+        after, end = int(query["from"]), self.clock.now + int(query.get("wait_ms", 0)) / 1000
+        while self.revision <= after and self.clock.now < end:
+            await curio.sleep(0.005)
+            self.expire()
+        while self.clock.now < max(self.outage_until, self.refused.get(host, 0.0)):
+            await curio.sleep(0.05)
+        if after < self.revision - 10_000:
+            return answer(410, {})
+        news = [event for revision, event in self.events if revision > after]
+        return answer(200, {"ledger": self.revision, "news": news})
