A late answer to our own write no longer revives a key another controller deleted

The holder's write at one revision and the leader's deletion right after both came by watch before the answer to the write; taking that answer in put the key back, and every later transaction of that part failed on it (log: conflicts on one key for 400 s). Ruled out: capacity (machines were idle), a missed watch event.

--- a/spurarch/bookkeeping/replica.py
+++ b/spurarch/bookkeeping/replica.py
@@ -113,6 +113,20 @@
             self._unindex(key, entry.record)
             self._touch(key)
 
+    def committed(self, writes: list[Write], revision: int) -> None:
+        """Takes in a transaction of our own.
+
+        A watch may have brought it already, with what others did to the same keys since; taking it in again would
+        bring back a key that another controller has deleted meanwhile, and every later transaction on it would fail.
+        """
+        if revision <= self.revision:
+            return
+        for write in writes:
+            if write.record is None:
+                self.drop(write.key, revision)
+            else:
+                self.put(write.key, revision, write.record)
+
     def advance(self, revision: int) -> None:
         """All changes up to a revision are in."""
         self.revision = max(self.revision, revision)
@@ -343,11 +357,7 @@
             await curio.sleep(0.1 if outcome.verdict is Verdict.UNKNOWN else 0.3)
 
     async def _committed(self, writes: list[Write], revision: int) -> None:
-        for write in writes:
-            if write.record is None:
-                self.state.drop(write.key, revision)
-            else:
-                self.state.put(write.key, revision, write.record)
+        self.state.committed(writes, revision)
         await self.ring()
 
 
