--- a/spurarch/coordination/refining.py
+++ b/spurarch/coordination/refining.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from math import ceil
+from math import floor
 from random import Random
 
 from spurarch.coordination.fit import Room, best_fit
@@ -43,7 +43,7 @@
         job_view = view.jobs.get(run.where.job)
         if job_view is None or not job_view.service or run.where.job in stopping:
             continue
-        if running[run.where.job] - 1 >= ceil(job_view.tasks * tuning.service_minimum):
+        if running[run.where.job] - 1 >= floor(job_view.tasks * tuning.service_minimum):
             out.add(key)
             running[run.where.job] = 0  # one at a time
     return out
--- a/spurarch/coordination/returning.py
+++ b/spurarch/coordination/returning.py
@@ -31,16 +31,20 @@
 
 
 def _idle(part: Part, view: FleetView, tuning: Tuning, now: float) -> list[Machine]:
-    """Machines that have had no task for long, as far as the rest keeps the share of room set aside."""
-    rooms = {view.machines.name(r.machine): r for r in view.rooms.values() if r.open}
-    total = sum(r.cpus for r in rooms.values())
-    free = sum(max(0.0, r.free_cpus) for r in rooms.values())
+    """Machines without a task: emptied ones at once, others after a while and beyond the share of room set aside."""
+    rooms = {view.machines.name(r.machine): r for r in view.rooms.values()}
+    total = sum(r.cpus for r in rooms.values() if r.open)
+    free = sum(max(0.0, r.free_cpus) for r in rooms.values() if r.open)
     out = []
     for machine in part.machines.values():
         room = rooms.get(machine.name)
-        if room is None or room.tasks or machine.runs or not machine.usable(now):
+        if room is None or room.tasks or machine.runs or machine.standing is not Standing.KNOWN or machine.returning:
             continue
-        if machine.idle_since is None or now - machine.idle_since < tuning.idle_return_s:
+        if machine.emptying:
+            # A closed machine is no room for anyone: kept, it would only cost.
+            out.append(machine)
+            continue
+        if machine.idle_since is None or now - machine.idle_since < tuning.idle_return_s or not room.open:
             continue
         if free - room.cpus < tuning.headroom * (total - room.cpus):
             continue
