A holder that hears too few workers gives its part up and returns nothing

Now a return first reads the store and checks that the part is still held; a holder that hears less than half of a part says so in its member record, and the leader gives the part to another. Also: an unexpected error restarts a task instead of ending the controller, and a lease found ended meanwhile is not renewed as 'None'.

--- a/spurarch/bookkeeping/records.py
+++ b/spurarch/bookkeeping/records.py
@@ -65,11 +65,12 @@
 
 
 class MemberRecord(Struct):
-    """A controller that lives."""
+    """A controller that lives. `unfit` are the zones whose workers it seems not to hear."""
 
     node: str
     boot: str
     area: str
+    unfit: list[str] = []
 
 
 class LeaderRecord(Struct):
--- a/spurarch/bookkeeping/replica.py
+++ b/spurarch/bookkeeping/replica.py
@@ -186,6 +186,7 @@
         self.store = store
         self.state = State()
         self.loaded = False
+        self.reachable = True  # only to log an outage once
         self.synced_at = 0.0  # the copy held everything that had been changed before this moment
         self._bells: list[curio.Event] = []
         self._batch: _Batch | None = None
@@ -262,11 +263,13 @@
                 sent = time.monotonic()
                 await self._apply(await self.store.watch(self.state.revision, WATCH_MS))
                 self.synced_at = max(self.synced_at, sent)
+                self.reachable = True
                 await curio.sleep(WATCH_PAUSE_S)
             except TooOld:
                 self.loaded = False
             except Unavailable as err:
-                log.info("watch: %s", err)
+                log.log(logging.INFO if self.reachable else logging.DEBUG, "watch: %s", err)
+                self.reachable = False
                 await curio.sleep(0.3)
 
     async def run_sync(self) -> None:
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -5,6 +5,7 @@
 import logging
 import secrets
 import time
+from collections.abc import Awaitable, Callable
 
 import curio
 import msgspec
@@ -27,6 +28,7 @@
 
 CUT_AFTER_S = 1.5
 PING_S = 1.0
+AGAIN_S = 0.5
 SOCKETS_RESERVED = 120
 
 
@@ -78,12 +80,25 @@
         log.info("controller %s starts (%s)", platform.node, self.boot)
         async with curio.TaskGroup(wait=any) as group:
             for task in tasks:
-                await group.spawn(task)
+                await group.spawn(self._guarded, task)
             async for done in group:
                 if done.exception and not isinstance(done.exception, curio.CancelledError):
                     log.error("a task ended: %r", done.exception)
                     raise done.exception
 
+    @staticmethod
+    async def _guarded(task: Callable[[], Awaitable[None]]) -> None:
+        """Contains an unexpected error: the rest goes on, and the task begins again. A taken address ends the process."""
+        while True:
+            try:
+                await task()
+                return
+            except (curio.CancelledError, OSError):
+                raise
+            except Exception:
+                log.exception("%s failed; it begins again", getattr(task, "__qualname__", task))
+                await curio.sleep(AGAIN_S)
+
     async def _start(self) -> None:
         """Claims first, so that workers are answered before everything else has been read."""
         while True:
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -20,7 +20,7 @@
 from spurarch.coordination.placing import Placer
 from spurarch.coordination.reach import Reach
 from spurarch.coordination.refining import refine
-from spurarch.coordination.returning import machines_to_return
+from spurarch.coordination.returning import cut_off, machines_to_return
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import Deployment, Tuning
@@ -33,6 +33,7 @@
 DIRECT_S = 4.0
 CLIENTS_KEPT = 400
 MOVE_S = 15.0
+FRESH_S = 2.0
 
 
 class Held:
@@ -43,6 +44,7 @@
         self.placer = Placer()
         self.dirty: set[str] = set()
         self.next_search = 0.0
+        self.cut = False
 
 
 class Holder:
@@ -156,7 +158,7 @@
         changes = part.ends(self.replica.state)
         room = self.deployment.state.txn_ops - 2
         placed = held.placer.run(part, self.view, now, lambda: time.monotonic() > deadline, room)
-        if self.reach.entitled(self.replica.synced_at, now):
+        if self._fresh(now):
             for run in placed.preempt:
                 log.info("preempting %s/%d on %s", *run.key, run.machine)
                 part.stop(run, self._grace(run))
@@ -181,7 +183,7 @@
             return
         first = held.next_search == 0.0
         held.next_search = now + self.tuning.round_s
-        if first or not self.reach.entitled(self.replica.synced_at, now):
+        if first or not self._fresh(now):
             return
         deadline = time.monotonic() + self.tuning.budget_ms / 1000
         result = refine(part, self.view, self.tuning, now, self._random, lambda: time.monotonic() > deadline)
@@ -195,6 +197,10 @@
         if result.search is not None and result.search.moves:
             log.info("search of %s: cost %.4f to %.4f", part.zone, result.search.before, result.search.after)
 
+    def _fresh(self, now: float) -> bool:
+        """The copy of the records is recent: what only serves placement waits while this controller may be deposed."""
+        return now - self.replica.synced_at < FRESH_S
+
     def _grace(self, run: TaskRun) -> float:
         job = self.replica.state.jobs.get(run.where.job)
         return job.spec.save_s * 1.5 + 1.0 if job is not None and job.spec.checkpoint_s > 0 else 0.0
@@ -316,6 +322,13 @@
     async def _returns(self, held: Held, now: float) -> None:
         """Starts the return of machines that are idle, silent, or were never seen by this holder."""
         part = held.part
+        if not self._fresh(now):
+            return
+        was_cut, held.cut = held.cut, cut_off(part, self.deployment.workers, now)
+        if held.cut:
+            self.membership.note_unfit(part.zone, now)
+            if not was_cut:
+                log.warning("most machines of %s are silent: another controller should take the part", part.zone)
         for machine in machines_to_return(part, self.view, self.tuning, self.deployment.workers, now):
             if machine.name not in self._returning and machine.return_after <= now:
                 machine.returning = True
@@ -324,6 +337,12 @@
 
     async def _return(self, part: Part, machine: Machine) -> None:
         try:
+            # A controller cut from the state service may have been deposed: to it, all machines of its old part look
+            # silent while they report to the new holder, and returning them would end healthy work.
+            if not await self.replica.sync() or self.membership.holds(part.zone) is None:
+                machine.returning = False
+                machine.return_after = time.monotonic() + 1.0
+                return
             log.info("returning %s (%s, %d tasks)", machine.name, machine.standing.value, len(machine.runs))
             if machine.standing is Standing.KNOWN and not machine.runs:
                 # Closed on record first: no task may be assigned to it while the cloud takes it down.
--- a/spurarch/coordination/membership.py
+++ b/spurarch/coordination/membership.py
@@ -19,6 +19,7 @@
 log = logging.getLogger(__name__)
 
 HOME_AFTER_S = 4.0
+UNFIT_S = 60.0
 
 
 def assign_parts(
@@ -28,7 +29,8 @@
 
     A part is a whole zone. It goes to a controller in its own zone if there is one, so that a zone cut off from the
     others keeps working; else to the living controller with the fewest parts. `settled` are members that have lived
-    long enough to take a part from a holder that is alive.
+    long enough to take a part from a holder that is alive. A member that seems not to hear a zone's workers is passed
+    over for that zone, and gives it up, as long as there is another.
     """
     load = dict.fromkeys(members, 0)
     for zone in zones:
@@ -38,11 +40,15 @@
     out: dict[str, str] = {}
     for zone in zones:
         part = parts.get(zone)
-        home = [m.node for m in members.values() if m.area == zone]
-        choice = min(home or members, key=lambda node: (load[node], node), default=None)
+        able = [m for m in members.values() if zone not in m.unfit]
+        if not able and part is not None and part.node in members:
+            continue
+        able = able or list(members.values())
+        home = [m.node for m in able if m.area == zone]
+        choice = min(home or [m.node for m in able], key=lambda node: (load[node], node), default=None)
         if choice is None or (part is not None and choice == part.node):
             continue
-        if part is not None and part.node in load:
+        if part is not None and part.node in load and zone not in members[part.node].unfit:
             uneven = load[part.node] > load[choice] + 1
             if part.node in home or choice not in settled or not (home or uneven):
                 continue
@@ -62,6 +68,7 @@
         self.zones, self.ttl_s = zones, ttl_s
         self._bell = replica.listen()
         self._lease: int | None = None
+        self._unfit: dict[str, float] = {}
         self._seen: dict[str, tuple[str, float]] = {}
 
     @property
@@ -75,6 +82,10 @@
         part = self.replica.state.parts.get(zone)
         return part if part is not None and part.node == self.node and part.boot == self.boot else None
 
+    def note_unfit(self, zone: str, now: float) -> None:
+        """This controller seems cut from the workers of a zone: another one should hold it for a while."""
+        self._unfit[zone] = now + UNFIT_S
+
     async def run_lease(self) -> None:
         """Obtains and renews the lease that says that this controller lives."""
         while True:
@@ -84,7 +95,8 @@
                     await curio.sleep(0.2)
                     continue
             await curio.sleep(self.ttl_s / 4)
-            if await self.replica.store.extend(self._lease) is False:
+            lease = self._lease  # the member's own write may have found it ended meanwhile
+            if lease is not None and await self.replica.store.extend(lease) is False:
                 log.info("the lease of this controller ran out")
                 self._lease = None
 
@@ -108,8 +120,10 @@
 
     async def _join(self) -> None:
         member = self.replica.state.members.get(self.node)
-        if self._lease is not None and (member is None or member.boot != self.boot):
-            record = MemberRecord(self.node, self.boot, self.area)
+        now = time.monotonic()
+        unfit = sorted(zone for zone, until in self._unfit.items() if until > now)
+        record = MemberRecord(self.node, self.boot, self.area, unfit)
+        if self._lease is not None and member != record:
             outcome = await self.replica.commit(
                 [Write(records.MEMBER + self.node, record, self._lease)], give_up_s=2.0, urgent=True
             )
--- a/spurarch/coordination/returning.py
+++ b/spurarch/coordination/returning.py
@@ -8,11 +8,37 @@
 from spurarch.settings import Tuning, Workers
 
 RETURN_AT_ONCE = 4
+CUT_SILENCE_S = 2.5
+CUT_REPORTS = 2.2
+FIND_S = 5.5
+
+
+def cut_off(part: Part, workers: Workers, now: float) -> bool:
+    """Most of a part's machines fell silent at once: more likely this controller is cut off than they are gone.
+
+    Returning them would throw away a zone of healthy machines that report to another controller by now.
+    """
+    limit = max(CUT_SILENCE_S, CUT_REPORTS * workers.report_s)
+    known = [m for m in part.machines.values() if m.standing is Standing.KNOWN and not m.returning]
+    if known:
+        silent = sum(now - (m.answered_at or m.first_seen) > limit for m in known)
+        return silent >= 2 and 2 * silent > len(known)
+    # Workers need a while to find a new holder.
+    unknown = sum(
+        m.standing is Standing.UNKNOWN
+        and not m.returning
+        and now - max(part.taken_at, m.first_seen) > limit + FIND_S
+        for m in part.machines.values()
+    )
+    return unknown >= 2
 
 
 def machines_to_return(part: Part, view: FleetView, tuning: Tuning, workers: Workers, now: float) -> list[Machine]:
     """Silent machines, whose return is the fastest proof that their tasks are off, and idle ones beyond headroom."""
     out = [m for m in part.machines.values() if _silent(part, m, tuning, workers, now)]
+    if cut_off(part, workers, now):
+        # Those that nobody answered for longer than a lease are no loss, whoever is cut off.
+        return [m for m in out if m.standing is not Standing.KNOWN][:RETURN_AT_ONCE]
     if not part.free:
         out += _idle(part, view, tuning, now)
     return out[:RETURN_AT_ONCE]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -119,6 +119,16 @@
     assert assign_parts(["a"], parts, both, {"n0"}) == {"a": "n0"}
 
 
+def test_a_holder_that_does_not_hear_a_zone_gives_it_up() -> None:
+    parts = {"a": PartRecord("n0", 4)}
+    both = members(("n0", "a"), ("n1", "b"))
+    both["n0"].unfit = ["a"]
+    assert assign_parts(["a"], parts, both, {"n0", "n1"}) == {"a": "n1"}
+    assert assign_parts(["a"], {"a": PartRecord("n1", 5)}, both, {"n0", "n1"}) == {}
+    both["n1"].unfit = ["a"]
+    assert assign_parts(["a"], {"a": PartRecord("n0", 4)}, both, {"n0", "n1"}) == {}
+
+
 def test_word_lasts_until_a_cancel_could_be_missed() -> None:
     reach = Reach(["p", "q"], cancel_s=30.0, lease_s=10.0)
     assert reach.entitled(100.0, 110.0)
