--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -16,7 +16,7 @@
 from spurarch.coordination.admission import Admission, Grant, Shortage
 from spurarch.coordination.membership import Membership
 from spurarch.coordination.part import live
-from spurarch.coordination.renting import Kind, Order, plan_rentals
+from spurarch.coordination.renting import Kind, Order, Turnover, plan_rentals
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import Deployment, Tuning
@@ -262,7 +262,7 @@
         self._closed = {kind: until for kind, until in self._closed.items() if until > now}
         orders = plan_rentals(
             self.view, self.shortages, [b.kind for b in self.booting.values()], set(self._closed),
-            self.deployment.zones,
+            self.deployment.zones, Turnover(self.view, self.tuning.turnover_share, time.time()),
         )  # fmt: skip
         for order in orders:
             await self._hire(order)
--- a/spurarch/coordination/renting.py
+++ b/spurarch/coordination/renting.py
@@ -40,9 +40,37 @@
     )  # fmt: skip
 
 
+class Turnover:
+    """Room that running arrays will free before waiting tasks would be late.
+
+    A machine rented for a task takes its boot time to help, and by then much of what runs now has ended. So only the
+    tasks that can't be started in time on what is freed are worth a machine. `share` says how far that is trusted:
+    estimates are often wrong.
+    """
+
+    def __init__(self, view: FleetView, share: float, now: float) -> None:
+        self._now = now
+        self._boot = max((offer.boot_s for offer in view.offers.values()), default=0.0)
+        self._rate = share * sum(
+            job.assigned * job.need.cpus / max(job.estimate_s, 1.0) for job in view.jobs.values() if not job.service
+        )
+        self._claimed = 0.0
+
+    def absorb(self, shortage: Shortage) -> int:
+        """How many of these tasks need no machine of their own."""
+        if shortage.service or shortage.need.cpus <= 0:
+            return 0
+        start_by = shortage.due - shortage.estimate_s - self._now if shortage.due is not None else 0.0
+        freed = self._rate * max(start_by, self._boot)
+        count = min(shortage.count, int(max(0.0, freed - self._claimed) / shortage.need.cpus))
+        self._claimed += count * shortage.need.cpus
+        return count
+
+
 def plan_rentals(
-    view: FleetView, shortages: Iterable[Shortage], booting: Iterable[Kind], closed: set[Kind], zones: list[str]
-) -> list[Order]:
+    view: FleetView, shortages: Iterable[Shortage], booting: Iterable[Kind], closed: set[Kind], zones: list[str],
+    turnover: Turnover,
+) -> list[Order]:  # fmt: skip
     """Rents for the tasks that fit neither on what is up nor on what is booting, at the least price per task."""
     rooms = [room_of(view, view.offers[k.type], k) for k in booting if k.type in view.offers]
     held: dict[Kind, int] = defaultdict(int)
@@ -52,7 +80,7 @@
     for room in rooms:
         per_zone[room.zone] += 1
     for shortage in sorted(shortages, key=lambda s: (s.need.priority, s.due if s.due is not None else math.inf)):
-        left = shortage.count
+        left = shortage.count - turnover.absorb(shortage)
         while left > 0:
             found = best_fit(shortage.need, rooms)
             if found is None:
--- a/spurarch/settings.py
+++ b/spurarch/settings.py
@@ -132,6 +132,7 @@
     idle_return_s: NotNegative = 40.0
     headroom: NotNegative = 0.1
     rent_pause_s: Positive = 1.0
+    turnover_share: Share = 0.5
     capacity_backoff_s: Positive = 20.0
     silent_return_s: NotNegative = 6.0
     seed: int = 1
