--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -262,7 +262,7 @@
         self._closed = {kind: until for kind, until in self._closed.items() if until > now}
         orders = plan_rentals(
             self.view, self.shortages, [b.kind for b in self.booting.values()], set(self._closed),
-            self.deployment.zones, Turnover(self.view, self.tuning.turnover_share, time.time()),
+            self.deployment.zones, Turnover(self.view, self.tuning.turnover_share),
         )  # fmt: skip
         for order in orders:
             await self._hire(order)
--- a/spurarch/coordination/renting.py
+++ b/spurarch/coordination/renting.py
@@ -41,15 +41,14 @@
 
 
 class Turnover:
-    """Room that running arrays will free before waiting tasks would be late.
+    """Room that running arrays will free before a rented machine could help.
 
-    A machine rented for a task takes its boot time to help, and by then much of what runs now has ended. So only the
-    tasks that can't be started in time on what is freed are worth a machine. `share` says how far that is trusted:
-    estimates are often wrong.
+    A machine rented for a task takes its boot time to come up, and by then much of what runs now has ended. So only
+    tasks that can't start on what is freed meanwhile are worth a machine. `share` says how far that is trusted:
+    estimates are often wrong, and jobs that come later want the same room.
     """
 
-    def __init__(self, view: FleetView, share: float, now: float) -> None:
-        self._now = now
+    def __init__(self, view: FleetView, share: float) -> None:
         self._boot = max((offer.boot_s for offer in view.offers.values()), default=0.0)
         self._rate = share * sum(
             job.assigned * job.need.cpus / max(job.estimate_s, 1.0) for job in view.jobs.values() if not job.service
@@ -60,8 +59,7 @@
         """How many of these tasks need no machine of their own."""
         if shortage.service or shortage.need.cpus <= 0:
             return 0
-        start_by = shortage.due - shortage.estimate_s - self._now if shortage.due is not None else 0.0
-        freed = self._rate * max(start_by, self._boot)
+        freed = self._rate * self._boot
         count = min(shortage.count, int(max(0.0, freed - self._claimed) / shortage.need.cpus))
         self._claimed += count * shortage.need.cpus
         return count
