Faulty machines are told from faulty jobs, and replaced

Cause: a machine's failures were forgotten as soon as one of its tasks was seen running, and a job that fails everywhere was blamed on every machine it touched. A machine set aside was closed, and so never returned. Scenarios sick-machine and faulty-job.

--- a/spurarch/coordination/part.py
+++ b/spurarch/coordination/part.py
@@ -8,7 +8,7 @@
 import logging
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from spurarch.bookkeeping import records
 from spurarch.bookkeeping.records import AllotKey, AllotRecord, JobRecord, MachineRecord, TaskEntry
@@ -21,6 +21,7 @@
 TOKEN_BITS = 20
 FAULTS_BEFORE_PAUSE = 2
 FAULT_PAUSE_S = 30.0
+MACHINES_BLAMED = 2
 REFUSAL_PAUSE_S = 2.0
 
 
@@ -30,6 +31,8 @@
 
     failures: int = 0
     not_before: float = 0.0
+    good: bool = False  # a task of it has completed
+    machines: set[str] = field(default_factory=set)  # where it failed
 
 
 class Part:
@@ -180,14 +183,15 @@
                     machine.images.add(image)
             if phase is Phase.EXITED:
                 self._judge(machine, run, now)
-        if phase is Phase.RUNNING and machine.failures:
-            machine.failures = 0
 
     def _judge(self, machine: Machine, run: TaskRun, now: float) -> None:
         """Learns from the way a task ended."""
         trouble = self.trouble[run.where.job]
         if run.why == wire.WHY_ERROR:
-            machine.failures += 1
+            trouble.machines.add(machine.name)
+            # A job that fails wherever it is put says nothing of the machines.
+            if trouble.good or len(trouble.machines) <= MACHINES_BLAMED:
+                machine.failures += 1
             trouble.failures += 1
             trouble.not_before = now + min(30.0, 0.25 * 2 ** min(trouble.failures, 8))
             log.info("task %s/%d failed on %s (attempt %d)", *run.key, machine.name, run.attempt)
@@ -199,7 +203,8 @@
             trouble.failures += 1
             trouble.not_before = now + min(30.0, 0.25 * 2 ** min(trouble.failures, 8))
         elif run.why == wire.WHY_DONE:
-            trouble.failures = 0
+            trouble.failures, trouble.good = 0, True
+            machine.failures = 0
 
     def _prove_absent(self, machine: Machine, report: wire.Report) -> None:
         """A task that has to go and is not in the report is off the machine, if no start can still be on its way."""
--- a/spurarch/coordination/returning.py
+++ b/spurarch/coordination/returning.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from spurarch.coordination.machine import Machine, Standing
-from spurarch.coordination.part import Part
+from spurarch.coordination.part import FAULTS_BEFORE_PAUSE, Part
 from spurarch.coordination.view import FleetView
 from spurarch.settings import Tuning, Workers
 
@@ -39,8 +39,7 @@
     if cut_off(part, workers, now):
         # Those that nobody answered for longer than a lease are no loss, whoever is cut off.
         return [m for m in out if m.standing is not Standing.KNOWN][:RETURN_AT_ONCE]
-    if not part.free:
-        out += _idle(part, view, tuning, now)
+    out += _idle(part, view, tuning, now)
     return out[:RETURN_AT_ONCE]
 
 
@@ -66,11 +65,11 @@
         room = rooms.get(machine.name)
         if room is None or room.tasks or machine.runs or machine.standing is not Standing.KNOWN or machine.returning:
             continue
-        if machine.emptying:
-            # A closed machine is no room for anyone: kept, it would only cost.
+        if machine.emptying or machine.failures >= FAULTS_BEFORE_PAUSE:
+            # A closed machine is no room for anyone: kept, it would only cost. A faulty one is replaced.
             out.append(machine)
             continue
-        if machine.idle_since is None or now - machine.idle_since < tuning.idle_return_s or not room.open:
+        if part.free or machine.idle_since is None or now - machine.idle_since < tuning.idle_return_s or not room.open:
             continue
         if free - room.cpus < tuning.headroom * (total - room.cpus):
             continue
--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -58,6 +58,7 @@
         self.done: dict[str, set[int]] = {}
         self.cancelled_at: dict[str, float] = {}
         self.limits: dict[str, float] = {}
+        self.faulty: set[str] = set()
         self.workers: dict[str, Worker] = {}
         self.rules = Rules()
 
@@ -206,7 +207,7 @@
             job, index = task.name.split("/")
             if task.state == "fetching" and now >= task.ready_at:
                 self.images.add(self.world.jobs[job]["kit"])
-                if self.sick:
+                if self.sick or job in self.world.faulty:
                     task.state, task.why, self._news = "ended", "error", True
                     continue
                 task.state, self._news = "running", True
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -248,6 +248,8 @@
         }  # fmt: skip
         self.world.jobs[ref] = spec
         self.world.run_s[ref] = float(opts.get("run", 5))
+        if "faulty" in opts:
+            self.world.faulty.add(ref)
         body = json.dumps(spec).encode()
         for _ in range(60):
             status, _answer = await self._ask("POST", "/submissions", body, opts.get("node"))
@@ -306,6 +308,8 @@
         if kind == "machines":
             up = sum(not m["gone"] for m in self.cloud.machines.values())
             return int(args[0]) <= up <= int(args[1])
+        if kind in ("gone", "kept"):  # a machine was returned, or not
+            return bool(self.cloud.machines[args[0]]["gone"]) == (kind == "gone")
         if kind == "started":
             return self.world.rules.started <= int(args[0])
         if kind == "empty":  # empty PREFIX: no key with it is left in the state service
