--- a/spurarch/bookkeeping/store.py
+++ b/spurarch/bookkeeping/store.py
@@ -61,29 +61,16 @@
         share = RATE_SHARE if controllers > 1 else 0.9
         self._requests = TokenBucket(rps * share, rps * share)
         self._writes = TokenBucket(write_rps * share, write_rps * share)
-        self.last_contact = 0.0  # when the newest call that was served had been sent
-        self.last_try_failed = False
 
     async def _call(
         self, method: str, target: str, body: bytes | None, wait_s: float = 0.0, urgent: bool = False
     ) -> tuple[int, bytes]:
         while delay := self._requests.delay(time.monotonic(), 1, urgent):
             await curio.sleep(delay)
-        sent = time.monotonic()
-        try:
-            status, answer = await self._client.request(method, target, body, CALL_S + wait_s)
-        except NoAnswer:
-            self.last_try_failed = True
-            raise
+        status, answer = await self._client.request(method, target, body, CALL_S + wait_s)
         if status == 429:
             log.info("state service: over the rate")
             self._requests.penalize(time.monotonic())
-        elif status < 500:
-            if wait_s == 0.0:
-                self.last_contact = max(self.last_contact, sent)
-            self.last_try_failed = False
-        else:
-            self.last_try_failed = True
         return status, answer
 
     async def _read(self, target: str, wait_s: float = 0.0) -> tuple[int, bytes]:
--- a/spurarch/coordination/fit.py
+++ b/spurarch/coordination/fit.py
@@ -110,7 +110,6 @@
         if not room.fits(need):
             continue
         fullness = 1.0 - (room.free_cpus - need.cpus) / room.cpus if room.cpus else 1.0
-        # Tasks that may use spot machines leave the ordinary ones to those that may not.
         order = (room.rank, need.image not in room.images, -round(fullness, 6), room.cpus)
         if best_order is None or order < best_order:
             best, best_order = room, order
--- a/spurarch/coordination/machine.py
+++ b/spurarch/coordination/machine.py
@@ -168,4 +168,6 @@
         return Phase.EXITED
     if task.state == wire.SAVING:
         return Phase.STOPPING
-    return Phase.FETCHING if task.state == wire.FETCHING else Phase.RUNNING
+    if task.state in (wire.FETCHING, wire.GATHERING):
+        return Phase.FETCHING
+    return Phase.RUNNING
--- a/spurarch/coordination/tabu.py
+++ b/spurarch/coordination/tabu.py
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Weights:
-    """Weights of the three terms."""
+    """Weights of the three terms. The edge cut's has nothing to weigh until traffic is known."""
 
     edge: float
     imbalance: float
@@ -43,7 +43,6 @@
     task: int
     source: int
     target: int
-    gain: float
 
 
 @dataclass(slots=True)
@@ -124,9 +123,7 @@
             if cost < best - 1e-9:
                 best, since_best = cost, 0
                 best_at = [t.at for t in self.tasks]
-        moves = [
-            Move(t.task, t.home, at, before - best) for t, at in zip(self.tasks, best_at, strict=True) if at != t.home
-        ]
+        moves = [Move(t.task, t.home, at) for t, at in zip(self.tasks, best_at, strict=True) if at != t.home]
         if before - best < margin:
             moves = []
         return SearchResult(moves, before, best, step)
--- a/spurarch/protocol/names.py
+++ b/spurarch/protocol/names.py
@@ -23,6 +23,3 @@
     def name(self, index: int) -> str:
         """The name behind an index."""
         return self._names[index]
-
-    def __len__(self) -> int:
-        return len(self._names)
--- a/spurarch/protocol/wire.py
+++ b/spurarch/protocol/wire.py
@@ -14,7 +14,6 @@
 T = TypeVar("T")
 
 MAX_TASKS = 100_000
-MAX_INT = 2**64 - 1
 REF = re.compile(r"job-[0-9]{1,24}")
 
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
@@ -40,11 +39,11 @@
 QUEUED, RUNNING, DONE, CANCELLED = "pending", "running", "done", "aborted"
 
 FETCHING, GATHERING, SAVING, EXITED = "fetching", "gathering", "saving", "ended"
-WHY_DONE, WHY_STOPPED, WHY_ERROR = "done", "halted", "error"
+WHY_DONE, WHY_ERROR = "done", "error"
 WHY_NO_ROOM, WHY_BUSY, WHY_UNKNOWN = "full", "in_use", "no_such"
 
 START, STOP, FORGET = "run", "halt", "forget"
-BOOTING, UP, FAILED = "booting", "running", "failed"
+BOOTING, FAILED = "booting", "failed"
 
 
 class Submission(Struct, forbid_unknown_fields=False):
