One late report no longer brings a returned machine back as room for tasks

Ruled out: a failed return, a slow lease. A machine now becomes known with a report that follows one we answered.

--- a/spurarch/coordination/part.py
+++ b/spurarch/coordination/part.py
@@ -128,10 +128,11 @@
             return None
         if report.token >= self.base + (1 << TOKEN_BITS):
             return None  # a later holder has spoken to this worker
+        met = machine.answered_at is not None
         machine.answered_at = now
         if (report.session, report.seq) <= (machine.session, machine.seq):
             return []  # something newer was seen: nothing to learn, though its sender may still wait
-        self.observe(machine, report, now)
+        self.observe(machine, report, now, met)
         if not self.ready or machine.standing is not Standing.KNOWN:
             return []
         self._prove_absent(machine, report)
@@ -149,8 +150,12 @@
         machine.type, machine.spot, machine.addr = report.type, report.spot, report.addr
         return machine
 
-    def observe(self, machine: Machine, report: wire.Report, now: float) -> None:
-        """Takes in what a report or the answer to a direct command shows, unless something newer was seen."""
+    def observe(self, machine: Machine, report: wire.Report, now: float, met: bool) -> None:
+        """Takes in what a report or the answer to a direct command shows, unless something newer was seen.
+
+        A machine becomes known with a report that follows one we answered. The network may deliver a report minutes
+        late: one alone, from a machine that was returned meanwhile, must not bring it back as room for tasks.
+        """
         if (report.session, report.seq) <= (machine.session, machine.seq):
             return
         if report.session > machine.session:
@@ -163,7 +168,8 @@
         machine.token_seen = max(machine.token_seen, report.token)
         if report.token >= self.base and report.token > 0:
             machine.counter = max(machine.counter, report.token - self.base)
-            machine.advance(Standing.KNOWN)
+            if met:
+                machine.advance(Standing.KNOWN)
         machine.notice_until = None if report.notice_s is None else now + report.notice_s
         machine.reported = len(report.tasks)
         for task in report.tasks:
@@ -277,7 +283,7 @@
             run = machine.runs.get(key) if key else None
             if run is not None and command.op == wire.START and report.session == machine.session:
                 run.sent_seq = max(run.sent_seq, report.seq)
-        self.observe(machine, report, now)
+        self.observe(machine, report, now, True)
 
     def direct_lost(self, machine: Machine, sent: wire.DirectCommands, reached: bool) -> None:
         """Direct commands got no answer: they may act minutes later, so the machine gets a higher token."""
