Simplify: one way for news to reach parts, one admission write list, no dead state

The holder spread changed records to its parts in two places, admission built its transaction twice, a job's back-off stood twice, the silence of a part was judged twice a round, and Room.rank, the view's returned keys and the leader's commit result had no user.

--- a/spurarch/coordination/fit.py
+++ b/spurarch/coordination/fit.py
@@ -46,7 +46,6 @@
     tasks: int = 0
     open: bool = True
     by_priority: list[list[float]] = field(default_factory=lambda: [[0.0, 0.0, 0.0] for _ in range(4)])
-    rank: float = 0.0  # machines with a higher rank are taken only if no other fits
 
     def take(self, need: Need) -> None:
         """Books a task."""
@@ -105,12 +104,12 @@
 def best_fit(need: Need, rooms: Iterable[Room]) -> Room | None:
     """The machine for a newcomer, or None if none fits."""
     best: Room | None = None
-    best_order: tuple[float, bool, float, float] | None = None
+    best_order: tuple[bool, float, float] | None = None
     for room in rooms:
         if not room.fits(need):
             continue
         fullness = 1.0 - (room.free_cpus - need.cpus) / room.cpus if room.cpus else 1.0
-        order = (room.rank, need.image not in room.images, -round(fullness, 6), room.cpus)
+        order = (need.image not in room.images, -round(fullness, 6), room.cpus)
         if best_order is None or order < best_order:
             best, best_order = room, order
     return best
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -121,15 +121,11 @@
         if not self.replica.loaded:
             return
         now = time.monotonic()
-        keys = set(self._dirty)
-        self._dirty.clear()
-        self.view.update()
         for zone in list(self.held):
             if self.membership.holds(zone) is None:
                 log.info("part %s is no longer held here", zone)
                 del self.held[zone]
-        for held in self.held.values():
-            held.dirty |= keys
+        self._spread_news()
         for zone in self.deployment.zones:
             if self.membership.holds(zone) is not None:
                 held = self._hold(zone, now)
@@ -137,6 +133,17 @@
                 if held.part.ready:
                     await self._work(held)
 
+    def _spread_news(self) -> None:
+        """Notes changed records for every part."""
+        self.view.update()
+        for held in self.held.values():
+            held.dirty |= self._dirty
+        self._dirty.clear()
+
+    def _take_news(self, held: Held, now: float) -> None:
+        held.part.take_records(self.replica.state, held.dirty, now)
+        held.dirty.clear()
+
     async def _prepare(self, held: Held) -> None:
         """Takes records in; a part is ready once a copy read after its claim is complete."""
         part, now = held.part, time.monotonic()
@@ -148,8 +155,7 @@
             held.dirty.clear()
             part.ready = True
         else:
-            part.take_records(state, held.dirty, now)
-            held.dirty.clear()
+            self._take_news(held, now)
         for ref in self.reach.cancelled:
             for run in list(part.runs.values()):
                 if run.where.job == ref and not run.stop:
@@ -174,7 +180,7 @@
         writes = self._machine_writes(part, now)
         await self._commit(part, changes, writes)
         self._refine(held, now)
-        await self._send(part)
+        await self._send(held)
         await self._returns(held, now)
 
     def _refine(self, held: Held, now: float) -> None:
@@ -270,10 +276,11 @@
 
     # Commands
 
-    async def _send(self, part: Part) -> None:
+    async def _send(self, held: Held) -> None:
         """Starts and stops go straight to the worker; its next report repeats what got lost."""
-        now = time.monotonic()
-        self._dirty_to(part, now)
+        part, now = held.part, time.monotonic()
+        self._spread_news()
+        self._take_news(held, now)
         if not self.reach.entitled(self.replica.synced_at, now):
             return
         for machine in part.machines.values():
@@ -290,16 +297,6 @@
                 machine.direct_after = now + 0.5
                 await curio.spawn(self._direct, part, machine, sent, daemon=True)
 
-    def _dirty_to(self, part: Part, now: float) -> None:
-        keys = set(self._dirty)
-        self._dirty.clear()
-        self.view.update()
-        for held in self.held.values():
-            if held.part is part:
-                part.take_records(self.replica.state, keys, now)
-            else:
-                held.dirty |= keys
-
     async def _direct(self, part: Part, machine: Machine, sent: wire.DirectCommands) -> None:
         client = self._clients.get(machine.addr)
         if client is None:
@@ -333,7 +330,9 @@
             self.membership.note_unfit(part.zone, now)
             if not was_cut:
                 log.warning("most machines of %s are silent: another controller should take the part", part.zone)
-        for machine in machines_to_return(part, self.view, self.tuning, self.deployment.workers, now):
+        for machine in machines_to_return(
+            part, self.view, self.tuning, self.deployment.workers, now, held.cut
+        ):
             if machine.name not in self._returning and machine.return_after <= now:
                 machine.returning = True
                 self._returning.add(machine.name)
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -10,7 +10,7 @@
 
 from spurarch.bookkeeping import records
 from spurarch.bookkeeping.cloud import Cloud, CloudTrouble, NoCapacity
-from spurarch.bookkeeping.records import AdmissionRecord, AllotKey, AllotRecord, FinalRecord
+from spurarch.bookkeeping.records import AdmissionRecord, AllotKey, AllotRecord, FinalRecord, TaskEntry
 from spurarch.bookkeeping.replica import Replica, Write
 from spurarch.bookkeeping.store import Verdict
 from spurarch.coordination.admission import Admission, Grant, Shortage
@@ -117,7 +117,7 @@
         known = state.admitted.get(ref) or AdmissionRecord(0)
         chunks, first = known.chunks, known.next
         most = self.deployment.state.txn_ops - 2
-        writes: list[Write] = []
+        allots: list[tuple[AllotKey, list[TaskEntry]]] = []
         moved: dict[AllotKey, set[int]] = {}
         fresh: set[int] = set()
         for grant in grants:
@@ -125,11 +125,11 @@
             for at in range(0, len(grant.entries), self._chunk):
                 part = grant.entries[at : at + self._chunk]
                 sources = {s for s, indices in grant.moved.items() if any(e.index in indices for e in part)}
-                if len(writes) + 1 + len(sources | set(moved)) > most:
+                if len(allots) + 1 + len(sources | set(moved)) > most:
                     break
                 where = AllotKey(self.view.zones.name(grant.zone), ref, chunks)
                 chunks += 1
-                writes.append(Write(str(where), AllotRecord(part)))
+                allots.append((where, part))
                 taken = {e.index for e in part}
                 fresh |= taken - moved_here
                 for source in sources:
@@ -138,20 +138,12 @@
         while first in fresh:
             fresh.discard(first)
             first += 1
-        if fresh:
-            return self._without(writes, ref, fresh, AdmissionRecord(first, chunks), moved)
-        return [Write(records.ADMISSION + ref, AdmissionRecord(first, chunks)), *writes, *self._shrunk(moved)]
-
-    def _without(
-        self, writes: list[Write], ref: str, drop: set[int], count: AdmissionRecord, moved: dict[AllotKey, set[int]]
-    ) -> list[Write]:
-        kept: list[Write] = []
-        for write in writes:
-            if isinstance(write.record, AllotRecord):
-                tasks = [e for e in write.record.tasks if e.index not in drop]
-                if tasks:
-                    kept.append(Write(write.key, AllotRecord(tasks)))
-        return [Write(records.ADMISSION + ref, count), *kept, *self._shrunk(moved)]
+        kept = [(where, [e for e in entries if e.index not in fresh]) for where, entries in allots]
+        return [
+            Write(records.ADMISSION + ref, AdmissionRecord(first, chunks)),
+            *(Write(str(where), AllotRecord(entries)) for where, entries in kept if entries),
+            *self._shrunk(moved),
+        ]
 
     def _shrunk(self, moved: dict[AllotKey, set[int]]) -> list[Write]:
         out = []
@@ -161,14 +153,13 @@
             out.append(Write(str(source), AllotRecord(left) if left else None))
         return out
 
-    async def _commit(self, writes: list[Write], jobs: list[str]) -> bool:
+    async def _commit(self, writes: list[Write], jobs: list[str]) -> None:
         guards = {records.LEADER, *(records.JOB + ref for ref in jobs)}
         if not self.membership.leading:
-            return False
+            return
         outcome = await self.replica.commit(writes, guards)
         if outcome.verdict not in (Verdict.DONE, Verdict.REFUSED):
             log.info("leader transaction: %s %s", outcome.verdict.value, outcome.failed)
-        return outcome.verdict is Verdict.DONE
 
     # Ends of jobs
 
--- a/spurarch/coordination/part.py
+++ b/spurarch/coordination/part.py
@@ -34,6 +34,11 @@
     good: bool = False  # a task of it has completed
     machines: set[str] = field(default_factory=set)  # where it failed
 
+    def back_off(self, now: float) -> None:
+        """One more failure: the next try waits longer."""
+        self.failures += 1
+        self.not_before = now + min(30.0, 0.25 * 2 ** min(self.failures, 8))
+
 
 class Part:
     """State of one part. The holder owns it as long as `epoch` is the part's on record."""
@@ -198,16 +203,14 @@
             # A job that fails wherever it is put says nothing of the machines.
             if trouble.good or len(trouble.machines) <= MACHINES_BLAMED:
                 machine.failures += 1
-            trouble.failures += 1
-            trouble.not_before = now + min(30.0, 0.25 * 2 ** min(trouble.failures, 8))
+            trouble.back_off(now)
             log.info("task %s/%d failed on %s (attempt %d)", *run.key, machine.name, run.attempt)
             if machine.failures >= FAULTS_BEFORE_PAUSE:
                 machine.avoid_until = now + FAULT_PAUSE_S * machine.failures
         elif run.why in (wire.WHY_NO_ROOM, wire.WHY_BUSY):
             machine.avoid_until = max(machine.avoid_until, now + REFUSAL_PAUSE_S)
         elif run.why == wire.WHY_UNKNOWN:
-            trouble.failures += 1
-            trouble.not_before = now + min(30.0, 0.25 * 2 ** min(trouble.failures, 8))
+            trouble.back_off(now)
         elif run.why == wire.WHY_DONE:
             trouble.failures, trouble.good = 0, True
             machine.failures = 0
--- a/spurarch/coordination/returning.py
+++ b/spurarch/coordination/returning.py
@@ -33,10 +33,12 @@
     return unknown >= 2
 
 
-def machines_to_return(part: Part, view: FleetView, tuning: Tuning, workers: Workers, now: float) -> list[Machine]:
+def machines_to_return(
+    part: Part, view: FleetView, tuning: Tuning, workers: Workers, now: float, cut: bool
+) -> list[Machine]:
     """Silent machines, whose return is the fastest proof that their tasks are off, and idle ones beyond headroom."""
     out = [m for m in part.machines.values() if _silent(part, m, tuning, workers, now)]
-    if cut_off(part, workers, now):
+    if cut:
         # Those that nobody answered for longer than a lease are no loss, whoever is cut off.
         return [m for m in out if m.standing is not Standing.KNOWN][:RETURN_AT_ONCE]
     out += _idle(part, view, tuning, now)
--- a/spurarch/coordination/tabu.py
+++ b/spurarch/coordination/tabu.py
@@ -3,7 +3,8 @@
 It minimises alpha*EC + beta*IB + gamma*DV of the paper's Eq. 4. EC is zero here, since no traffic is known. IB is the
 mean relative gap between each machine's booked CPU, GPU and memory and their averages, over the machines that hold
 tasks and are not being emptied. DV is the share of moved tasks. Moves keep within capacity, never target an empty
-machine or one that would first have to fetch the image, and an entry of the tabu list is lifted when it would beat the best solution so far (aspiration).
+machine or one that would first have to fetch the image, and an entry of the tabu list is lifted when it would beat the
+best solution so far (aspiration).
 """
 
 from __future__ import annotations
@@ -26,7 +27,7 @@
 
 @dataclass(slots=True)
 class Replica:
-    """A task that the search may move; `fixed` ones only count as load."""
+    """A task of the part; one that is not movable only counts as load."""
 
     task: int
     need: Need
--- a/spurarch/coordination/view.py
+++ b/spurarch/coordination/view.py
@@ -75,8 +75,8 @@
         if fresh:
             self._dirty.update(key for key in self.state.entries if key.startswith(records.MACHINE))
 
-    def update(self) -> set[str]:
-        """Follows the records; returns the keys that changed."""
+    def update(self) -> None:
+        """Follows the records."""
         keys = set(self._dirty)
         self._dirty.clear()
         for key in keys:
@@ -91,14 +91,13 @@
         # Only now: the bookings of a job that is over have to be undone with its need still known.
         for ref in [r for r in self.jobs if r not in self.state.jobs and r not in self.state.allots]:
             del self.jobs[ref]
-        return keys
 
     def _take_job(self, ref: str) -> None:
         record = self.state.jobs.get(ref)
         if record is not None and ref not in self.jobs:
-            self.jobs[ref] = self.job_view(record)
+            self.jobs[ref] = self._job_view(record)
 
-    def job_view(self, record: records.JobRecord) -> JobView:
+    def _job_view(self, record: records.JobRecord) -> JobView:
         """The decisions' view of a job."""
         spec = record.spec
         need = Need(
