Replicas go before arrays in the line for changes; ends of jobs no longer hold admission

Now: an urgency of their own for replicas and new machines; a part makes two transactions of an urgency and plans again; ends of jobs have rounds of their own; clean-up waits until nothing else does; while changes are scarce, ends are gathered for 6 s and arrays are admitted in pieces of up to 16 tasks.

--- a/spurarch/bookkeeping/limits.py
+++ b/spurarch/bookkeeping/limits.py
@@ -12,11 +12,12 @@
 class Urgency(enum.Enum):
     """Who goes first when a rate is short: the level, in shares of the burst, that must be left in the bucket.
 
-    The first two may go into debt, so membership never waits behind bulk.
+    Those below 0 may go into debt, so membership never waits behind bulk, nor a replica behind the starts of arrays.
     """
 
     MEMBERSHIP = -1.0
     USERS = -0.5
+    REPLICAS = -0.25
     STARTS = 0.0
     ENDS = 0.1
 
--- a/spurarch/bookkeeping/store.py
+++ b/spurarch/bookkeeping/store.py
@@ -159,6 +159,10 @@
             raise Unavailable(f"status {status}")
         return _decode(wire.changes_decoder, answer)
 
+    def ready(self, urgency: Urgency) -> bool:
+        """A transaction of this urgency would not have to wait in line."""
+        return not self._lines[urgency].locked() and self._writes.level(time.monotonic()) >= urgency.value
+
     async def txn(self, txn: wire.Txn, urgency: Urgency = Urgency.STARTS) -> Outcome:
         """Runs a transaction."""
         started = time.monotonic()
--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -62,9 +62,9 @@
 
     def __init__(
         self, view: FleetView, now: float, ahead_s: float = 0.0, longest_wait_s: float = float("inf"),
-        booting: Iterable[Room] = (),
+        booting: Iterable[Room] = (), piece: int = 1,
     ) -> None:  # fmt: skip
-        self.view, self.now = view, now
+        self.view, self.now, self.piece = view, now, piece
         self._coming: dict[int, list[Room]] = defaultdict(list)  # by zone, machines that boot
         for room in booting:
             self._coming[room.zone].append(room)
@@ -210,9 +210,12 @@
         zones: dict[int, int] = {}
         if not self._hopeless(job.need, home):
             rooms = [r for zone, rs in self._roomy.items() if home is None or zone == home for r in rs]
-            for room, number in fill(job.need, rooms, count, self._draft):
+            booked = fill(job.need, rooms, count, self._draft)
+            for room, number in booked:
                 zones[room.zone] = zones.get(room.zone, 0) + number
-                count -= number
+            if not job.gang:
+                self._drop_small_pieces(job, booked, zones, count)
+            count -= sum(zones.values())
             if count:
                 self._failed.append((job.need, home))
                 self._drop_full()
@@ -242,6 +245,18 @@
                 zones[found.zone] = zones.get(found.zone, 0) + 1
         return zones
 
+    def _drop_small_pieces(
+        self, job: JobView, booked: list[tuple[Room, int]], zones: dict[int, int], count: int
+    ) -> None:
+        """Leaves room for a few tasks alone until there is more of it: every piece of a job costs changes of its own, at
+        its admission, starts and ends. The rest of a job goes however small it is."""
+        small = {zone for zone, number in zones.items() if number < min(self.piece, count)}
+        for room, number in booked:
+            if room.zone in small:
+                self._draft.take(room, job.need, -number)
+        for zone in small:
+            del zones[zone]
+
     def _hopeless(self, need: Need, home: int | None, failed: list[tuple[Need, int | None]] | None = None) -> bool:
         """A task no larger and no choosier found nothing in this round."""
         return any(
@@ -265,7 +280,7 @@
         room = {z: self._ahead[z] - self._queue[z] for z in able if home is None or z == home}
         for zone in sorted(room, key=lambda z: -room[z]):
             number = min(count, int(room[zone] / job.need.cpus))
-            if number > 0:
+            if number >= min(count, self.piece) > 0:
                 out[zone] = number
                 count -= number
                 self._queue[zone] += number * job.need.cpus
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -78,6 +78,7 @@
             self.replica.run_sync,
             self.holder.run,
             self.leader.run,
+            self.leader.run_ends,
             self.leader.run_cloud,
             self._keep_word,
             self._wake_peers,
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -37,8 +37,10 @@
 RETURNS_S = 1.0
 RETURN_AT_ONCE = 100
 MOST_PLACED = 200  # allotments in one round
+MOST_BATCHES = 2  # of one urgency in one round, so that what comes meanwhile is planned in its place
 GATHER_S = 3.0
 GATHER_BELOW = 0.8
+GATHER_SCARCE_S = 6.0
 DIRECT_S = 4.0
 CLIENTS_SHARE = 4  # of all sockets, one in so many is for connections to workers
 MOVE_S = 15.0
@@ -251,7 +253,10 @@
 
     def _gather_s(self) -> float:
         """How long ends are gathered: not at all while changes are to be had, longer the scarcer they are."""
-        return GATHER_S * min(1.0, max(0.0, GATHER_BELOW - self.replica.store.write_level()) / GATHER_BELOW)
+        level = self.replica.store.write_level()
+        if level <= Urgency.STARTS.value:
+            return GATHER_SCARCE_S
+        return GATHER_S * min(1.0, max(0.0, GATHER_BELOW - level) / GATHER_BELOW)
 
     def _refine(self, held: Held, now: float) -> None:
         """The round of Tabu search and consolidation, and reopening what was being emptied when tasks wait."""
@@ -310,21 +315,37 @@
         return out
 
     async def _commit(self, held: Held, changes: dict[AllotKey, dict[int, TaskEntry]], extra: list[Write]) -> None:
-        """Writes what changed, in transactions within the limits that guard the part and the jobs. Starts go first."""
-        part, state = held.part, self.replica.state
-        starts: list[_Change] = [_Change(write) for write in extra]
-        ends: list[_Change] = []
-        for where in part.left_over(state):
-            changes.pop(where, None)
-            ends.append(_Change(Write(str(where), None), where))
+        """Writes what changed, in transactions within the limits that guard the part and the jobs.
+
+        Machines and replicas go before arrays, whose ends go with their starts; clean-up waits until nothing else does.
+        Nothing here stands in line for long: a replica that has to start would wait behind it
+        (tests/test_scale.py).
+        """
+        part, groups = held.part, self._by_urgency(held.part, changes, extra)
+        for urgency, group in groups.items():
+            if urgency is Urgency.ENDS and not self.replica.store.ready(urgency):
+                continue
+            batches = self._batches(part.zone, group)
+            for batch in batches[:MOST_BATCHES]:
+                await self._commit_batch(part, batch, urgency)
+                await self._send(held)
+            if len(batches) > MOST_BATCHES:
+                await held.bell.set()
+
+    def _by_urgency(
+        self, part: Part, changes: dict[AllotKey, dict[int, TaskEntry]], extra: list[Write]
+    ) -> dict[Urgency, list[_Change]]:
+        out: dict[Urgency, list[_Change]] = {Urgency.REPLICAS: [_Change(write) for write in extra], Urgency.STARTS: []}
+        cleaning = part.left_over(self.replica.state)
+        out[Urgency.ENDS] = [_Change(Write(str(where), None), where) for where in cleaning]
         for where, entries in changes.items():
+            if where in cleaning:
+                continue
+            job = self.view.jobs.get(where.job)
             starting = any(e.state == records.ASSIGNED for e in entries.values())
-            (starts if starting else ends).append(_Change(None, where, entries, starting))
-        for group, urgency in ((starts, Urgency.STARTS), (ends, Urgency.ENDS)):
-            for batch in self._batches(part.zone, group):
-                await self._commit_batch(part, batch, urgency)
-                if urgency is Urgency.STARTS:
-                    await self._send(held)
+            urgency = Urgency.REPLICAS if job is not None and job.service else Urgency.STARTS
+            out[urgency].append(_Change(None, where, entries, starting))
+        return out
 
     def _batches(self, zone: str, items: list[_Change]) -> list[list[_Change]]:
         out: list[list[_Change]] = []
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -33,6 +33,8 @@
 NEVER_UP_LEAST_S = 90.0
 ROUND_PAUSE_S = 0.1
 ROUND_REST = 8.0  # times what a round took
+PIECE = 16  # tasks: while changes are scarce, an array is admitted to a zone in no smaller pieces
+ENDS_PAUSE_S = 0.1
 MOST_ENDED = 200
 SLOW_BOOT_S = 60.0  # a machine that takes longer may never come up
 
@@ -78,12 +80,12 @@
                     if self._led_since is None:
                         self._led_since = time.monotonic()
                         await self.replica.sync()
-                        self._ending = dict.fromkeys(self.replica.state.jobs)
+                        self._dirty.clear()
+                        self._ending = dict.fromkeys(self.replica.state.jobs)  # a new leader looks at all jobs once
                         self._next_job, self._shortages_so_far = None, []
                     await self._round()
                 else:
                     self._led_since, self._listed = None, False
-                    self._dirty.clear()  # a new leader looks at all jobs once
             except curio.CancelledError:
                 raise
             except Exception:  # a failure in one round must not end the controller
@@ -91,8 +93,6 @@
             await curio.sleep(0.01)
 
     async def _round(self) -> None:
-        self.view.update()
-        await self._end_jobs()
         now = time.monotonic()
         if now < self._next_full:
             return
@@ -103,13 +103,18 @@
             room_of(self.view, self.view.offers[b.kind.type], b.kind)
             for b in self.booting.values() if b.kind.type in self.view.offers and now - b.since < SLOW_BOOT_S
         ]  # fmt: skip
-        admission = Admission(self.view, time.time(), self.tuning.ahead_s, self.tuning.longest_wait_s, coming)
+        scarce = min(1.0, max(0.0, 1.0 - self.replica.store.write_level()))
+        admission = Admission(
+            self.view, time.time(), self.tuning.ahead_s, self.tuning.longest_wait_s, coming, max(1, round(PIECE * scarce))
+        )
         plan = admission.run(self._next_job, lambda: time.monotonic() > deadline, self.deployment.state.txn_ops)
         # A share of the processor at most, however much there is to admit.
         self._next_full = time.monotonic() + max(ROUND_PAUSE_S, ROUND_REST * (time.monotonic() - now))
         self._note_shortages(plan)
-        if plan.grants:
-            await self._admit(plan.grants)
+        replicas = [grant for grant in plan.grants if self.view.jobs[grant.job].service]
+        arrays = [grant for grant in plan.grants if not self.view.jobs[grant.job].service]
+        await self._admit(replicas, Urgency.REPLICAS)
+        await self._admit(arrays, Urgency.STARTS)
 
     def _note_shortages(self, plan: Plan) -> None:
         """What all rounds from the first job to the last found short, so that a plan cut off by time rents no less."""
@@ -122,7 +127,7 @@
 
     # Admission
 
-    async def _admit(self, grants: list[Grant]) -> None:
+    async def _admit(self, grants: list[Grant], urgency: Urgency) -> None:
         by_job: dict[str, list[Grant]] = {}
         for grant in grants:
             by_job.setdefault(grant.job, []).append(grant)
@@ -136,14 +141,14 @@
             writes = self._admission_writes(ref, mine)
             length = sum(records.change_bytes(w.record) for w in writes)
             if batch and (len(batch) + len(writes) > self.deployment.state.txn_ops or size + length > records.TXN_BYTES):
-                await self._commit(batch, jobs)
+                await self._commit(batch, jobs, urgency)
                 batch, jobs, size = [], [], 0
                 writes = self._admission_writes(ref, mine)
             batch += writes
             size += length
             jobs.append(ref)
         if batch:
-            await self._commit(batch, jobs)
+            await self._commit(batch, jobs, urgency)
 
     def _admission_writes(self, ref: str, grants: list[Grant]) -> list[Write]:
         """The job's count, its new allotments, and the old ones that lose tasks; as many as one transaction takes.
@@ -193,13 +198,13 @@
             out.append(Write(str(source), AllotRecord(left) if left else None))
         return out
 
-    async def _commit(self, writes: list[Write], jobs: list[str]) -> None:
+    async def _commit(self, writes: list[Write], jobs: list[str], urgency: Urgency) -> None:
         # The count is guarded also where it is not written: once there is one, a late repeat of the transaction that
         # admitted a job as a whole does nothing, whatever has become of its allotments.
         guards = {records.LEADER, *(records.JOB + ref for ref in jobs), *(records.ADMISSION + ref for ref in jobs)}
         if not self.membership.leading:
             return
-        outcome = await self.replica.commit(writes, guards)
+        outcome = await self.replica.commit(writes, guards, urgency=urgency)
         if outcome.verdict is Verdict.DONE:
             await self._wake()
         elif outcome.verdict is not Verdict.REFUSED:
@@ -207,6 +212,20 @@
 
     # Ends of jobs
 
+    async def run_ends(self) -> None:
+        """Ends of jobs have rounds of their own: when changes are short they wait in line, and admission must not wait
+        with them."""
+        while True:
+            await curio.sleep(ENDS_PAUSE_S)
+            try:
+                if self.replica.loaded and self.membership.leading and self._led_since is not None:
+                    self.view.update()
+                    await self._end_jobs()
+            except curio.CancelledError:
+                raise
+            except Exception:  # a failure in one round must not end the controller
+                log.exception("ends of jobs failed")
+
     async def _end_jobs(self) -> None:
         """Records the final standing of jobs whose tasks have all ended, and of cancelled ones that are off.
 
@@ -241,7 +260,7 @@
             await self._commit_ends(batch, guards, refs)
 
     async def _commit_ends(self, writes: list[Write], guards: set[str], refs: list[str]) -> None:
-        outcome = await self.replica.commit(writes, [records.LEADER, *guards], urgency=Urgency.ENDS)
+        outcome = await self.replica.commit(writes, [records.LEADER, *guards])
         if outcome.verdict is Verdict.INVALID and len(refs) > 1:
             for ref in refs:  # one job that can't be ended must not keep the others from it
                 final = self._final(ref)
@@ -271,9 +290,10 @@
         writes = [Write(records.FINAL + ref, final), Write(records.JOB + ref, None)]
         if ref in state.admitted:
             writes.append(Write(records.ADMISSION + ref, None))
-        # What does not fit goes with the holders' clean-up of jobs that are over.
+        # What does not fit goes with the holders' clean-up of jobs that are over; all of it while changes are scarce.
         rest = [str(key) for key in state.allots.get(ref, {})]
-        writes += [Write(key, None) for key in rest[: most - len(writes)]]
+        if self.replica.store.ready(Urgency.ENDS):
+            writes += [Write(key, None) for key in rest[: most - len(writes)]]
         return writes, set(rest[: 3 * most])
 
     # The cloud
