A controller that stood still waits for a word before it acts; sockets by one budget

The first call after a gap of 2 s now finds it; until a word asked for after it, reports are answered without commands and nothing is concluded, returned or rented; cloud calls are asked once more behind their line; answers that took 5 s are not given. Sockets: connections to workers could be half of all beside reports' three quarters; with 906 workers at one controller of 1,339 sockets reports alone were over their bound. Now a budget of at most 150 with a line in front, commands worked out when there is a connection, none to silent machines; the listen queue takes a whole fleet. Tests: the former code fails those of silence and of sockets.

--- a/spurarch/bookkeeping/cloud.py
+++ b/spurarch/bookkeeping/cloud.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 
 import curio
 import msgspec
@@ -43,9 +44,13 @@
         rate = RATE_SHARE * self._rps * share
         self._bucket.set_rate(time.monotonic(), rate, max(1.0, 2 * rate))
 
-    async def _call(self, method: str, target: str, body: bytes | None) -> tuple[int, bytes]:
+    async def _call(
+        self, method: str, target: str, body: bytes | None, still: Callable[[], bool] = lambda: True
+    ) -> tuple[int, bytes]:
         while delay := self._bucket.delay(time.monotonic(), 1):
             await curio.sleep(delay)
+        if not still():
+            raise CloudTrouble("no longer wanted")
         try:
             status, answer = await self._client.request(method, target, body, CALL_S)
         except NoAnswer as err:
@@ -75,14 +80,15 @@
                 return out
             after = page.machines[-1].id
 
-    async def rent(self, rental: wire.Rental) -> list[str]:
-        """Rents machines; the same request may be repeated without renting twice."""
-        _, answer = await self._call("POST", wire.PATH_MACHINES, wire.encode(rental))
+    async def rent(self, rental: wire.Rental, still: Callable[[], bool]) -> list[str]:
+        """Rents machines; the same request may be repeated without renting twice. `still` is asked at the last moment
+        whether the caller may do this."""
+        _, answer = await self._call("POST", wire.PATH_MACHINES, wire.encode(rental), still)
         return _decode(wire.names_decoder, answer).machines
 
-    async def release(self, names: list[str]) -> None:
-        """Returns up to 100 machines; they are gone when this ends without an error."""
-        await self._call("POST", wire.PATH_RELEASE, wire.encode(wire.MachineNames(names)))
+    async def release(self, names: list[str], still: Callable[[], bool]) -> None:
+        """Returns up to 100 machines; they are gone when this ends without an error. `still` as in `rent`."""
+        await self._call("POST", wire.PATH_RELEASE, wire.encode(wire.MachineNames(names)), still)
 
 
 def _decode(decoder: msgspec.json.Decoder[wire.T], answer: bytes) -> wire.T:
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -14,9 +14,10 @@
 from spurarch.bookkeeping.limits import lend
 from spurarch.bookkeeping.replica import Replica
 from spurarch.bookkeeping.store import Store, Unavailable
-from spurarch.coordination.holder import CLIENTS_SHARE, Holder
+from spurarch.coordination.holder import Holder, direct_connections
 from spurarch.coordination.leader import Leader
 from spurarch.coordination.membership import Membership, rate_shares
+from spurarch.coordination.pulse import BEAT_S, Pulse
 from spurarch.coordination.reach import Reach
 from spurarch.coordination.users import Users, error
 from spurarch.coordination.view import FleetView
@@ -32,7 +33,8 @@
 AGAIN_S = 0.5
 SHARE_S = 1.0
 CLOUD_LEADER = 0.6  # of the cloud's rate: rentals and lists; the others only return machines
-SOCKETS_RESERVED = 100
+SOCKETS_RESERVED = 100  # the state service, the cloud, peers, and some to spare
+LATE_S = 5.0  # users have gone by then, and may have been told more elsewhere
 
 
 class Controller:
@@ -53,12 +55,13 @@
         )
         workers = deployment.workers
         self.reach = Reach([p.node for p in platform.peers], workers.cancel_s, workers.lease_s)
+        self.pulse = Pulse()
         self.view = FleetView(self.replica.state, deployment.teams)
         self.holder = Holder(
-            self.replica, self.membership, self.view, self.cloud, self.reach, deployment, tuning, network
+            self.replica, self.membership, self.view, self.cloud, self.reach, self.pulse, deployment, tuning, network
         )  # fmt: skip
         self.leader = Leader(
-            self.replica, self.membership, self.view, self.cloud, deployment, tuning, self.boot, self._wake
+            self.replica, self.membership, self.view, self.cloud, self.pulse, deployment, tuning, self.boot, self._wake
         )
         self.users = Users(self.replica, self.view, deployment.teams, deployment.zones, self._wake)
         self._peers = {p.node: network.back_client(p.address) for p in platform.peers}
@@ -69,7 +72,7 @@
         """Serves until cancelled."""
         platform = self.platform
         sockets = platform.deployment.limits.sockets
-        most = max(16, sockets - sockets // CLIENTS_SHARE - SOCKETS_RESERVED)
+        most = max(16, sockets - direct_connections(sockets) - SOCKETS_RESERVED)
         tasks = [
             self.network.server(platform.listen, self.handle, most).run,
             self.network.back_server(platform.back, self.on_frame, 32).run,
@@ -81,6 +84,7 @@
             self.leader.run_ends,
             self.leader.run_cloud,
             self._keep_word,
+            self._beat,
             self._wake_peers,
             self._share_rates,
         ]
@@ -123,7 +127,14 @@
     # Requests
 
     async def handle(self, request: Request) -> Response:
-        """Routes a request."""
+        """Answers a request, unless this took so long that the answer is old."""
+        started = time.monotonic()
+        response = await self._route(request)
+        if time.monotonic() - started > LATE_S:
+            return error(503, "too late to answer")
+        return response
+
+    async def _route(self, request: Request) -> Response:
         path = request.target.split("?", 1)[0]
         if path == wire.PATH_REPORT:
             return await self._report(request) if request.method == "POST" else error(405, "use POST")
@@ -177,6 +188,14 @@
     async def _follow(self) -> None:
         await self.replica.sync()
 
+    async def _beat(self) -> None:
+        while True:
+            woke_at = self.pulse.woke_at
+            if self.pulse.beat(time.monotonic()) != woke_at:
+                log.warning("this process stood still; it reads the state service before it goes on")
+                await curio.spawn(self._follow, daemon=True)
+            await curio.sleep(BEAT_S)
+
     async def _wake(self) -> None:
         await self._waking.set()
 
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -20,6 +20,7 @@
 from spurarch.coordination.membership import Membership
 from spurarch.coordination.part import Part, merged
 from spurarch.coordination.placing import Placer
+from spurarch.coordination.pulse import Pulse
 from spurarch.coordination.reach import Reach
 from spurarch.coordination.refining import refine
 from spurarch.coordination.returning import cut_off, machines_to_return
@@ -42,11 +43,18 @@
 GATHER_BELOW = 0.8
 GATHER_SCARCE_S = 6.0
 DIRECT_S = 4.0
-CLIENTS_SHARE = 4  # of all sockets, one in so many is for connections to workers
+DIRECT_SHARE, DIRECT_MOST = 8, 150  # of all sockets, one in so many is for connections to workers
+SILENT_REPORTS = 2.5
 MOVE_S = 15.0
 FRESH_S = 2.0
 
 
+def direct_connections(sockets: int) -> int:
+    """Connections to workers at a time: all of a fleet may need commands in the same second, and workers' own reports,
+    which bring the same commands, need the other sockets."""
+    return max(8, min(DIRECT_MOST, sockets // DIRECT_SHARE))
+
+
 class Held:
     """A part and what its holder keeps beside it."""
 
@@ -76,17 +84,19 @@
     """All parts of this controller."""
 
     def __init__(
-        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, reach: Reach,
+        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, reach: Reach, pulse: Pulse,
         deployment: Deployment, tuning: Tuning, network: Network,
     ) -> None:  # fmt: skip
-        self._network = network
+        self._network, self._pulse = network, pulse
         self.replica, self.membership, self.view = replica, membership, view
         self.cloud, self.reach, self.deployment, self.tuning = cloud, reach, deployment, tuning
         self.held: dict[str, Held] = {}
         self._bell = replica.listen()
         self._dirty = replica.state.subscribe()
         self._clients: dict[str, Requests] = {}
-        self._clients_most = max(16, deployment.limits.sockets // CLIENTS_SHARE)
+        self._clients_most = direct_connections(deployment.limits.sockets)
+        self._direct_slots = curio.Semaphore(self._clients_most)
+        self._in_line: set[str] = set()  # machines whose commands wait for a connection
         self._random = Random(tuning.seed)
 
     # Reports
@@ -106,7 +116,7 @@
         held = self._hold(report.zone, now)
         fresh = held.part.machines.get(report.machine)
         news = fresh is None or fresh.reported != len(report.tasks)
-        commands = held.part.on_report(report, now)
+        commands = held.part.on_report(report, now, self._steady(now))
         if commands is None:
             return 503, wire.encode(wire.ErrorBody("not entitled to this worker"))
         machine = held.part.machines[report.machine]
@@ -114,6 +124,10 @@
             await held.bell.set()
         return 200, wire.encode(wire.ReportAnswer(held.part.token(machine), commands))
 
+    def _steady(self, now: float) -> bool:
+        """Not just woken from standing still without a word from anyone since."""
+        return self._pulse.steady(now, self.reach.word(self.replica.synced_at))
+
     def _owns(self, part: Part) -> bool:
         """The part is still held as it was when this was begun: not by another, and not anew by ourselves, whose earlier
         knowledge of it would then be as stale as a stranger's."""
@@ -229,7 +243,7 @@
     async def _work(self, held: Held) -> None:
         part, state, now = held.part, self.replica.state, time.monotonic()
         writes: list[Write] = []
-        if now >= held.next_tick:
+        if now >= held.next_tick and self._steady(now):
             held.next_tick = now + PART_TICK_S
             part.tick(now)
             writes = self._machine_writes(part, now)
@@ -284,7 +298,7 @@
 
     def _fresh(self, now: float) -> bool:
         """The copy of the records is recent: what only serves placement waits while this controller may be deposed."""
-        return now - self.replica.synced_at < FRESH_S
+        return now - self.replica.synced_at < FRESH_S and self._steady(now)
 
     def _grace(self, run: TaskRun) -> float:
         job = self.replica.state.jobs.get(run.where.job)
@@ -397,28 +411,38 @@
         part, now = held.part, time.monotonic()
         self._spread_news()
         self._take_news(held, now)
-        if not part.attention or not self.reach.entitled(self.replica.synced_at, now):
+        if not part.attention or not self.reach.entitled(self.replica.synced_at, now) or not self._steady(now):
             return
+        silent = SILENT_REPORTS * self.deployment.workers.report_s
         for name in list(part.attention):
             machine = part.machines.get(name)
             if machine is None or not part.needs_command(machine):
                 del part.attention[name]
                 continue
-            if machine.direct_after > now:
-                continue
-            sent = part.direct(machine)
-            if sent is not None:
-                machine.direct_after = now + 0.5
-                await curio.spawn(self._direct, held, machine, sent, daemon=True)
+            if machine.direct_after > now or name in self._in_line or now - (machine.heard_at or now) > silent:
+                continue  # one that is silent would only keep a connection from others
+            machine.direct_after = now + 0.5
+            self._in_line.add(name)
+            await curio.spawn(self._direct, held, machine, daemon=True)
 
     def _client(self, address: str) -> Requests:
-        client = self._clients.pop(address, None) or self._network.client(address, 2)
+        client = self._clients.pop(address, None) or self._network.client(address, 1)
         self._clients[address] = client
         while len(self._clients) > self._clients_most:
             self._clients.pop(next(iter(self._clients)))
         return client
 
-    async def _direct(self, held: Held, machine: Machine, sent: wire.DirectCommands) -> None:
+    async def _direct(self, held: Held, machine: Machine) -> None:
+        """Commands are worked out when there is a connection for them: in a mass start that may take a while."""
+        async with self._direct_slots:
+            self._in_line.discard(machine.name)
+            now = time.monotonic()
+            if self._owns(held.part) and self.reach.entitled(self.replica.synced_at, now) and self._steady(now):
+                sent = held.part.direct(machine)
+                if sent is not None:
+                    await self._command(held, machine, sent)
+
+    async def _command(self, held: Held, machine: Machine, sent: wire.DirectCommands) -> None:
         part, client = held.part, self._client(machine.addr)
         try:
             status, answer = await client.request("POST", wire.PATH_COMMANDS, wire.encode(sent), DIRECT_S)
@@ -444,13 +468,13 @@
         if now < held.next_returns or not self._fresh(now):
             return
         held.next_returns = now + RETURNS_S
-        was_cut, held.cut = held.cut, cut_off(part, self.deployment.workers, now)
+        was_cut, held.cut = held.cut, cut_off(part, self.deployment.workers, now, self._pulse.woke_at)
         if held.cut:
             self.membership.note_unfit(part.zone, now)
             if not was_cut:
                 log.warning("most machines of %s are silent: another controller should take the part", part.zone)
         found = machines_to_return(
-            part, self.view, self.tuning, self.deployment.workers, self.reach.limit, now, held.cut
+            part, self.view, self.tuning, self.deployment.workers, self.reach.limit, now, held.cut, self._pulse.woke_at
         )  # fmt: skip
         found = [m for m in found if m.return_after <= now]
         idle = [m for m in found if m.standing is Standing.KNOWN and not m.runs][:RETURN_AT_ONCE]
@@ -482,7 +506,8 @@
             for machine in machines:
                 state = "deaf" if machine.deaf else machine.standing.value
                 log.info("returning %s (%s, %d tasks)", machine.name, state, len(machine.runs))
-            await self.cloud.release([m.name for m in machines])
+            # The line in front of the cloud may be long, and this process may stand still in it.
+            await self.cloud.release([m.name for m in machines], lambda: self._owns(part) and self._fresh(time.monotonic()))
             gone = True
             for machine in machines:
                 part.returned(machine.name)
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -17,6 +17,7 @@
 from spurarch.coordination.admission import Admission, Grant, Plan, Shortage
 from spurarch.coordination.membership import Membership
 from spurarch.coordination.part import live
+from spurarch.coordination.pulse import Pulse
 from spurarch.coordination.renting import Kind, Order, Turnover, plan_rentals, room_of
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
@@ -35,6 +36,7 @@
 ROUND_REST = 8.0  # times what a round took
 PIECE = 16  # tasks: while changes are scarce, an array is admitted to a zone in no smaller pieces
 ENDS_PAUSE_S = 0.1
+FRESH_S = 3.0
 MOST_ENDED = 200
 SLOW_BOOT_S = 60.0  # a machine that takes longer may never come up
 
@@ -50,11 +52,11 @@
     """The leading controller's rounds; they do nothing while another one leads."""
 
     def __init__(
-        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud,
+        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, pulse: Pulse,
         deployment: Deployment, tuning: Tuning, boot: str, wake: Callable[[], Awaitable[None]],
     ) -> None:  # fmt: skip
         self.replica, self.membership, self.view, self.cloud = replica, membership, view, cloud
-        self.deployment, self.tuning, self._boot = deployment, tuning, boot
+        self.deployment, self.tuning, self._boot, self._pulse = deployment, tuning, boot, pulse
         self._bell = replica.listen()
         self._wake = wake
         self._next_job: str | None = None
@@ -298,6 +300,13 @@
 
     # The cloud
 
+    def _still(self) -> bool:
+        """This process leads as far as a recent copy shows: one that stood still would rent a second time, or return
+        machines that the next leader uses by now."""
+        now = time.monotonic()
+        fresh = now - self.replica.synced_at < FRESH_S and self._pulse.steady(now, self.replica.synced_at)
+        return self.membership.leading and fresh
+
     async def run_cloud(self) -> None:
         """Keeps types and prices known on every controller; the leader also lists and rents."""
         types_at = list_at = -1e9
@@ -308,7 +317,7 @@
                     self.view.set_offers(await self.cloud.types())
                     types_at = now
                     await self.replica.ring()
-                if self._led_since is not None and self.membership.leading:
+                if self._led_since is not None and self._still():
                     if now - list_at > LIST_EVERY_S or not self._listed:
                         await self._list()
                         list_at = now
@@ -351,7 +360,7 @@
                 del self.booting[name]
         if useless:
             log.info("returning machines that never came up: %s", " ".join(useless[:100]))
-            await self.cloud.release(useless[:100])
+            await self.cloud.release(useless[:100], self._still)
 
     async def _rent(self) -> None:
         self._settle_booting()
@@ -371,7 +380,7 @@
         rental = wire.Rental(f"{self._boot}-{self._hires}", kind.type, kind.zone, kind.spot, order.count)
         for _ in range(3):
             try:
-                names = await self.cloud.rent(rental)
+                names = await self.cloud.rent(rental, self._still)
                 break
             except NoCapacity:
                 log.info("no capacity: %s", kind)
--- a/spurarch/coordination/part.py
+++ b/spurarch/coordination/part.py
@@ -204,11 +204,12 @@
 
     # Reports
 
-    def on_report(self, report: wire.Report, now: float) -> list[wire.Command] | None:
+    def on_report(self, report: wire.Report, now: float, commanding: bool = True) -> list[wire.Command] | None:
         """Takes a report in and returns the commands of its answer; None if it must not be answered with 200.
 
         A report may be a copy of any age, or come in an order that can't be: only one newer than the newest seen, of a
-        machine that has shown a token chosen anew for it here, teaches anything.
+        machine that has shown a token chosen anew for it here, teaches anything. Without `commanding` the answer only
+        keeps the worker's lease: this holder may have been deposed.
         """
         self.now = now
         if report.machine in self._returned:
@@ -225,7 +226,7 @@
             return []  # something newer was seen: nothing to learn, though its sender may still wait
         self.observe(machine, report, now)
         self._ask(machine, now)
-        if not self.ready or machine.standing is not Standing.KNOWN:
+        if not self.ready or not commanding or machine.standing is not Standing.KNOWN:
             return []
         self._prove_absent(machine, report)
         commands = self.commands(machine, report)
--- a/spurarch/coordination/returning.py
+++ b/spurarch/coordination/returning.py
@@ -12,51 +12,55 @@
 FIND_S = 5.5
 
 
-def cut_off(part: Part, workers: Workers, now: float) -> bool:
+def cut_off(part: Part, workers: Workers, now: float, woke_at: float = 0.0) -> bool:
     """Most of a part's machines fell silent at once: more likely this controller is cut off than they are gone.
 
-    Returning them would throw away a zone of healthy machines that report to another controller by now.
+    Returning them would throw away a zone of healthy machines that report to another controller by now. Silence counts
+    from `woke_at` at the earliest: before that this process itself stood still.
     """
     limit = max(CUT_SILENCE_S, CUT_REPORTS * workers.report_s)
     known = [m for m in part.machines.values() if m.standing is Standing.KNOWN and not m.returning]
     if known:
-        silent = sum(now - (m.heard_at or m.first_seen) > limit for m in known)
+        silent = sum(now - max(m.heard_at or m.first_seen, woke_at) > limit for m in known)
         return silent >= 2 and 2 * silent > len(known)
     # Workers need a while to find a new holder.
     unknown = sum(
         m.standing is Standing.UNKNOWN
         and not m.returning
-        and now - max(part.taken_at, m.first_seen) > limit + FIND_S
+        and now - max(part.taken_at, m.first_seen, woke_at) > limit + FIND_S
         for m in part.machines.values()
     )
     return unknown >= 2
 
 
 def machines_to_return(
-    part: Part, view: FleetView, tuning: Tuning, workers: Workers, old_holder_s: float, now: float, cut: bool
-) -> list[Machine]:
+    part: Part, view: FleetView, tuning: Tuning, workers: Workers, old_holder_s: float, now: float, cut: bool,
+    woke_at: float = 0.0,
+) -> list[Machine]:  # fmt: skip
     """Silent machines, whose return is the fastest proof that their tasks are off, and idle ones beyond headroom.
 
     `old_holder_s` is how long a holder before us may go on answering workers after it was last heard of.
     """
-    out = [m for m in part.machines.values() if _silent(part, m, tuning, workers, old_holder_s, now)]
+    out = [m for m in part.machines.values() if _silent(part, m, tuning, workers, old_holder_s, now, woke_at)]
     if cut:
         # Those that nobody answered for longer than a lease are no loss, whoever is cut off.
         return [m for m in out if m.standing is not Standing.KNOWN]
     return out + _idle(part, view, tuning, now)
 
 
-def _silent(part: Part, machine: Machine, tuning: Tuning, workers: Workers, old_holder_s: float, now: float) -> bool:
+def _silent(
+    part: Part, machine: Machine, tuning: Tuning, workers: Workers, old_holder_s: float, now: float, woke_at: float
+) -> bool:
     if machine.standing is Standing.GONE or machine.returning:
         return False
     if machine.standing is Standing.UNKNOWN:
         # An old holder that is cut off from all but its workers may keep it alive, so time proves nothing, and its
         # return would end healthy work. Such a holder stops in the end, and then its workers look for us.
-        return now - max(part.taken_at, machine.first_seen) > max(workers.lease_s * 1.5, old_holder_s + FIND_S)
+        return now - max(part.taken_at, machine.first_seen, woke_at) > max(workers.lease_s * 1.5, old_holder_s + FIND_S)
     patience = max(tuning.silent_return_s, 2.5 * workers.report_s) if machine.runs else workers.lease_s * 2
     if machine.deaf:
-        return now - (machine.asked_at or now) > patience
-    return now - (machine.heard_at or machine.first_seen) > patience
+        return now - max(machine.asked_at or now, woke_at) > patience
+    return now - max(machine.heard_at or machine.first_seen, woke_at) > patience
 
 
 def _idle(part: Part, view: FleetView, tuning: Tuning, now: float) -> list[Machine]:
--- a/spurarch/transport/sockets.py
+++ b/spurarch/transport/sockets.py
@@ -11,6 +11,7 @@
 log = logging.getLogger(__name__)
 
 ACCEPT_PAUSE_S = 0.05
+BACKLOG = 2048  # all workers of a fleet may come back in the same second
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -42,7 +43,7 @@
     listener = curio.io.Socket(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind(address)
-    listener.listen(256)
+    listener.listen(BACKLOG)
     open_now = 0
 
     async def attend(sock: curio.io.Socket) -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -79,10 +79,13 @@
         self.view.update()
         self.part.take_records(self.state, keys, 1.0)
 
-    def report(self, i: int, seq: int, token: int) -> object:
+    @staticmethod
+    def wire_report(i: int, seq: int, token: int) -> wire.Report:
         tasks = [wire.TaskReport(f"job-{i}/{n}", 1, "running") for n in range(4)]
-        report = wire.Report(f"vm-{i}", "10.1.0.1:9000", "big", "a", 1, seq, token, tasks)
-        return self.part.on_report(report, 1.0 + seq / 10)
+        return wire.Report(f"vm-{i}", "10.1.0.1:9000", "big", "a", 1, seq, token, tasks)
+
+    def report(self, i: int, seq: int, token: int) -> object:
+        return self.part.on_report(self.wire_report(i, seq, token), 1.0 + seq / 10)
 
 
 def test_a_report_and_a_change_cost_the_same_in_a_large_fleet() -> None:
--- /dev/null
+++ b/tests/test_standing_still.py
@@ -0,0 +1,57 @@
+"""A controller that stood still concludes nothing from others' silence, which was its own; and sockets at full size."""
+
+from __future__ import annotations
+
+import pytest
+
+from spurarch.coordination.controller import SOCKETS_RESERVED
+from spurarch.coordination.holder import direct_connections
+from spurarch.coordination.pulse import GAP_S, Pulse
+from spurarch.coordination.returning import cut_off, machines_to_return
+from spurarch.settings import Tuning, Workers
+from tests.test_scale import Fleet
+
+WORKERS = Workers(1.0, 10.0, 30.0)
+
+
+def test_after_a_gap_nothing_counts_before_a_word_that_was_asked_for_after_it() -> None:
+    pulse = Pulse()
+    assert pulse.steady(100.0, 99.5)
+    assert pulse.steady(100.0 + GAP_S, 99.5)
+    woke = 100.0 + 2 * GAP_S + 20.0
+    assert not pulse.steady(woke, 101.0)  # whoever asks first after the gap finds it
+    assert not pulse.steady(woke + 0.1, woke - 0.1)
+    assert pulse.steady(woke + 0.2, woke + 0.1)
+
+
+def test_silence_counts_from_waking() -> None:
+    """The former code took all machines for silent, gave the part away as unfit, or returned those with tasks."""
+    fleet = Fleet(10)
+    woke = 60.0  # the machines were last heard 58 s before
+
+    def found(now: float, woke_at: float) -> int:
+        cut = cut_off(fleet.part, WORKERS, now, woke_at)
+        return cut + len(machines_to_return(fleet.part, fleet.view, Tuning(), WORKERS, 15.0, now, cut, woke_at))
+
+    assert found(woke, 0.0)
+    assert not found(woke, woke)
+    assert not found(woke + 1.0, woke)
+    assert found(woke + 10.0, woke)
+
+
+def test_a_holder_that_may_have_been_deposed_gives_no_commands() -> None:
+    fleet = Fleet(1)
+    machine = fleet.part.machines["vm-0"]
+    fleet.part.stop_job("job-0")
+    report = fleet.wire_report(0, 3, fleet.part.token(machine))
+    assert fleet.part.on_report(report, 2.0, commanding=False) == []
+    report = fleet.wire_report(0, 4, fleet.part.token(machine))
+    assert fleet.part.on_report(report, 3.0)
+
+
+@pytest.mark.parametrize(("sockets", "machines"), [(800, 60), (1339, 906), (2049, 933)])
+def test_one_controller_has_sockets_for_every_worker(sockets: int, machines: int) -> None:
+    """The former bound gave workers' reports 905 sockets of 1339, and its own connections to workers up to 668 more."""
+    reports = sockets - direct_connections(sockets) - SOCKETS_RESERVED
+    assert reports >= machines + 100  # users
+    assert reports + direct_connections(sockets) + SOCKETS_RESERVED <= sockets
