A zone that nobody hears stays with the holder that knows its machines' leases

Its holder gave the part up as unfit after 6 s; it went from controller to controller every 13 s, each without a memory of the machines, so none could tell when their leases had run out, and 49 s after the cut the machines were returned, just before they were back. Now controllers tell each other which workers look for their holder. If nobody hears them, the zone is dark: one change on record closes it to new tasks and rentals, its tasks are free as their leases run out and go straight back to the leader, and its machines are kept for three leases. If others hear them, the part changes hands as before; a worker of a dark zone that reaches another controller is not sent back to the deaf one. A machine not heard for 2.5 reports takes no new tasks.

--- a/spurarch/bookkeeping/records.py
+++ b/spurarch/bookkeeping/records.py
@@ -65,12 +65,14 @@
 
 
 class MemberRecord(Struct):
-    """A controller that lives. `unfit` are the zones whose workers it seems not to hear."""
+    """A controller that lives. `unfit` are the zones whose workers it seems not to hear, while others do; `dark` those
+    of its parts whose workers nobody hears."""
 
     node: str
     boot: str
     area: str
     unfit: list[str] = []
+    dark: list[str] = []
 
 
 class LeaderRecord(Struct):
--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -62,15 +62,17 @@
 
     def __init__(
         self, view: FleetView, now: float, ahead_s: float = 0.0, longest_wait_s: float = float("inf"),
-        booting: Iterable[Room] = (), piece: int = 1,
+        booting: Iterable[Room] = (), piece: int = 1, dark: Iterable[str] = (),
     ) -> None:  # fmt: skip
         self.view, self.now, self.piece = view, now, piece
+        closed = {view.zones.index(zone) for zone in dark}  # nobody hears their workers
         self._coming: dict[int, list[Room]] = defaultdict(list)  # by zone, machines that boot
         for room in booting:
-            self._coming[room.zone].append(room)
+            if room.zone not in closed:
+                self._coming[room.zone].append(room)
         self.longest_wait_s = longest_wait_s
         self._draft = Draft()
-        self.rooms = [room for room in view.rooms.values() if room.open]
+        self.rooms = [room for room in view.rooms.values() if room.open and room.zone not in closed]
         self._roomy: dict[int, list[Room]] = defaultdict(list)  # by zone, with some room left
         for room in self.rooms:
             if room.free_cpus > EPSILON:
@@ -92,7 +94,8 @@
             if not job.service and job.assigned and ahead_s > 0:
                 rate = ahead_s * job.need.cpus * job.assigned / max(1, job.charged) / max(job.estimate_s, 1.0)
                 for zone, count in job.in_zone.items():
-                    self._ahead[zone] += count * rate
+                    if zone not in closed:
+                        self._ahead[zone] += count * rate
 
     def run(self, start: str | None, out_of_time: Callable[[], bool], most_grants: int) -> Plan:
         """Goes through the jobs that have tasks to admit, from `start` on, until the time is over.
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -31,7 +31,7 @@
 CUT_AFTER_S = 1.5
 PING_S = 1.0
 AGAIN_S = 0.5
-SHARE_S = 1.0
+SHARE_S, SHARE_LEAST_S = 1.0, 0.2
 CLOUD_LEADER = 0.6  # of the cloud's rate: rentals and lists; the others only return machines
 SOCKETS_RESERVED = 100  # the state service, the cloud, peers, and some to spare
 LATE_S = 5.0  # users have gone by then, and may have been told more elsewhere
@@ -217,7 +217,8 @@
             now = time.monotonic()
             recent = {n: load for n, (load, at) in self._loads.items() if now - at < 3 * SHARE_S}
             total = self.platform.deployment.state.write_rps
-            mine = hints.Load(node, *self.store.recent_writes())
+            mine = hints.Load(node, *self.store.recent_writes(), self.holder.strangers(now))
+            self.holder.heard_elsewhere = {n: dict(load.strangers) for n, load in recent.items()}
             recent[node] = mine
             writes = lend(
                 node, {n: w for n, (_, w) in shares.items()}, {n: load.writes / total for n, load in recent.items()},
@@ -228,7 +229,9 @@
             frame = hints.encode(mine)
             for client in self._peers.values():
                 await curio.spawn(client.call, frame, 0.5, daemon=True)
-            await curio.sleep(SHARE_S)
+            await curio.sleep(SHARE_LEAST_S)
+            await curio.ignore_after(SHARE_S - SHARE_LEAST_S, self.holder.found_stranger.wait)
+            self.holder.found_stranger.clear()
 
     async def _keep_word(self) -> None:
         """Reads the state service at least every second, and asks the peers while it can't be read."""
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -45,6 +45,8 @@
 DIRECT_S = 4.0
 DIRECT_SHARE, DIRECT_MOST = 8, 150  # of all sockets, one in so many is for connections to workers
 SILENT_REPORTS = 2.5
+STRANGERS_S = 5.0  # a worker that looks for its holder comes by more often than that
+BLIND_S = 6.0  # most of a part is silent, and no peer says what it hears
 MOVE_S = 15.0
 FRESH_S = 2.0
 
@@ -67,7 +69,7 @@
         self.next_tick = 0.0
         self.next_returns = 0.0
         self.working = False
-        self.cut = False
+        self.cut_since: float | None = None  # most machines are silent
 
 
 @dataclass(slots=True)
@@ -91,6 +93,9 @@
         self.replica, self.membership, self.view = replica, membership, view
         self.cloud, self.reach, self.deployment, self.tuning = cloud, reach, deployment, tuning
         self.held: dict[str, Held] = {}
+        self.heard_elsewhere: dict[str, dict[str, int]] = {}  # by peer and zone, workers that look for their holder
+        self._strangers: dict[str, dict[str, float]] = {}
+        self.found_stranger = curio.Event()  # a worker that its holder gave up for unheard
         self._bell = replica.listen()
         self._dirty = replica.state.subscribe()
         self._clients: dict[str, Requests] = {}
@@ -108,6 +113,14 @@
         if heard is not None and (part is None or heard[1] > part.epoch) and heard[0] != self.membership.node:
             return 421, wire.encode(wire.Steer(heard[0]))  # a peer that reaches the store told us
         if self.membership.holds(report.zone) is None:
+            lost = report.zone in self.membership.dark()
+            if report.zone in self.deployment.zones:
+                self._strangers.setdefault(report.zone, {})[report.machine] = now
+            if lost:
+                # Its holder believes that nobody hears it. Sent back there, the worker would lose what is left of its
+                # lease; the next controller may know of another holder.
+                await self.found_stranger.set()
+                return 421, b"{}"
             if part is None or part.node == self.membership.node:
                 return 503, wire.encode(wire.ErrorBody("the holder of this zone is not known yet"))
             return 421, wire.encode(wire.Steer(part.node))
@@ -124,6 +137,12 @@
             await held.bell.set()
         return 200, wire.encode(wire.ReportAnswer(held.part.token(machine), commands))
 
+    def strangers(self, now: float) -> list[tuple[str, int]]:
+        """By zone, workers that reported here of late though another holds their zone."""
+        for zone, heard in self._strangers.items():
+            self._strangers[zone] = {name: at for name, at in heard.items() if now - at < STRANGERS_S}
+        return [(zone, len(heard)) for zone, heard in self._strangers.items() if heard]
+
     def _steady(self, now: float) -> bool:
         """Not just woken from standing still without a word from anyone since."""
         return self._pulse.steady(now, self.reach.word(self.replica.synced_at))
@@ -140,6 +159,7 @@
         held = self.held.get(zone)
         if held is None or held.part.epoch != record.epoch:
             held = Held(Part(zone, record.epoch, self.deployment.workers.lease_s, now, self._image_of), self.tuning)
+            held.placer.silent_s = SILENT_REPORTS * self.deployment.workers.report_s
             self.held[zone] = held
         return held
 
@@ -323,6 +343,8 @@
                 continue
             if machine.standing is Standing.UNKNOWN or not machine.type:
                 continue
+            if part.dark and machine.standing is Standing.LOST:
+                continue  # the whole zone is closed by one change
             wanted = MachineRecord(machine.type, machine.spot, machine.addr, machine.willing(now))
             if record != wanted:
                 out.append(Write(key, wanted))
@@ -468,13 +490,10 @@
         if now < held.next_returns or not self._fresh(now):
             return
         held.next_returns = now + RETURNS_S
-        was_cut, held.cut = held.cut, cut_off(part, self.deployment.workers, now, self._pulse.woke_at)
-        if held.cut:
-            self.membership.note_unfit(part.zone, now)
-            if not was_cut:
-                log.warning("most machines of %s are silent: another controller should take the part", part.zone)
+        cut = cut_off(part, self.deployment.workers, now, self._pulse.woke_at)
+        self._note_cut(held, cut, now)
         found = machines_to_return(
-            part, self.view, self.tuning, self.deployment.workers, self.reach.limit, now, held.cut, self._pulse.woke_at
+            part, self.view, self.tuning, self.deployment.workers, self.reach.limit, now, cut, self._pulse.woke_at
         )  # fmt: skip
         found = [m for m in found if m.return_after <= now]
         idle = [m for m in found if m.standing is Standing.KNOWN and not m.runs][:RETURN_AT_ONCE]
@@ -486,6 +505,29 @@
                     machine.returning = True
                 await curio.spawn(self._return, held, machines, daemon=True)
 
+    def _note_cut(self, held: Held, cut: bool, now: float) -> None:
+        """Most machines of a part fell silent: whose fault is it?
+
+        If others hear those workers, this controller is cut off from them, and another should take the part. If nobody
+        does, the zone is: the part stays with the one who remembers its machines, since only that one can tell when
+        their leases have run out (a new holder would have to wait for longer, or return them all).
+        """
+        part, zone = held.part, held.part.zone
+        if not cut:
+            held.cut_since, part.dark = None, False
+        else:
+            held.cut_since = now if held.cut_since is None else held.cut_since
+            elsewhere = sum(heard.get(zone, 0) for heard in self.heard_elsewhere.values())
+            blind = not self.heard_elsewhere and now - held.cut_since > BLIND_S
+            if elsewhere >= 2 or blind:
+                if not part.dark or elsewhere:
+                    self.membership.note_unfit(zone, now)
+                    log.warning("most machines of %s are silent: another controller should take the part", zone)
+            elif not part.dark:
+                part.dark = True
+                log.warning("nobody hears the machines of %s", zone)
+        self.membership.note_dark(zone, part.dark)
+
     async def _return(self, held: Held, machines: list[Machine]) -> None:
         """Returns machines in one call: calls are few, and a wave of silent machines has many."""
         part, gone = held.part, False
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -107,8 +107,9 @@
         ]  # fmt: skip
         scarce = min(1.0, max(0.0, 1.0 - self.replica.store.write_level()))
         admission = Admission(
-            self.view, time.time(), self.tuning.ahead_s, self.tuning.longest_wait_s, coming, max(1, round(PIECE * scarce))
-        )
+            self.view, time.time(), self.tuning.ahead_s, self.tuning.longest_wait_s, coming,
+            max(1, round(PIECE * scarce)), self.membership.dark(),
+        )  # fmt: skip
         plan = admission.run(self._next_job, lambda: time.monotonic() > deadline, self.deployment.state.txn_ops)
         # A share of the processor at most, however much there is to admit.
         self._next_full = time.monotonic() + max(ROUND_PAUSE_S, ROUND_REST * (time.monotonic() - now))
@@ -366,9 +367,10 @@
         self._settle_booting()
         now = time.monotonic()
         self._closed = {kind: until for kind, until in self._closed.items() if until > now}
+        dark = self.membership.dark()
         orders = plan_rentals(
-            self.view, self.shortages, [b.kind for b in self.booting.values()], set(self._closed),
-            self.deployment.zones, Turnover(self.view, self.tuning.turnover_share), time.time(),
+            self.view, self.shortages, [b.kind for b in self.booting.values() if b.kind.zone not in dark],
+            set(self._closed), [zone for zone in self.deployment.zones if zone not in dark], Turnover(self.view, self.tuning.turnover_share), time.time(),
         )  # fmt: skip
         for order in orders:
             await self._hire(order)
--- a/spurarch/coordination/membership.py
+++ b/spurarch/coordination/membership.py
@@ -81,6 +81,7 @@
         self._bell = replica.listen()
         self._lease: int | None = None
         self._unfit: dict[str, float] = {}
+        self._dark: set[str] = set()
         self._seen: dict[str, tuple[str, float]] = {}
 
     @property
@@ -98,6 +99,19 @@
         """This controller seems cut from the workers of a zone: another one should hold it for a while."""
         self._unfit[zone] = now + UNFIT_S
 
+    def note_dark(self, zone: str, dark: bool) -> None:
+        """Nobody hears the workers of a zone that is held here: it takes no new tasks, and no machines."""
+        if dark:
+            self._dark.add(zone)
+        else:
+            self._dark.discard(zone)
+
+    def dark(self) -> set[str]:
+        """Zones whose holder says that nobody hears their workers."""
+        state = self.replica.state
+        holders = {zone: state.members.get(part.node) for zone, part in state.parts.items()}
+        return {zone for zone, member in holders.items() if member is not None and zone in member.dark}
+
     async def run_lease(self) -> None:
         """Obtains and renews the lease that says that this controller lives."""
         while True:
@@ -134,7 +148,8 @@
         member = self.replica.state.members.get(self.node)
         now = time.monotonic()
         unfit = sorted(zone for zone, until in self._unfit.items() if until > now)
-        record = MemberRecord(self.node, self.boot, self.area, unfit)
+        dark = sorted(zone for zone in self._dark if self.holds(zone) is not None)
+        record = MemberRecord(self.node, self.boot, self.area, unfit, dark)
         if self._lease is not None and member != record:
             outcome = await self.replica.commit(
                 [Write(records.MEMBER + self.node, record, self._lease)], give_up_s=2.0, urgency=Urgency.MEMBERSHIP
--- a/spurarch/coordination/part.py
+++ b/spurarch/coordination/part.py
@@ -62,6 +62,7 @@
         self.runs: dict[tuple[str, int], TaskRun] = {}
         self.free: dict[AllotKey, list[TaskEntry]] = {}
         self.trouble: dict[str, JobTrouble] = defaultdict(JobTrouble)
+        self.dark = False  # nobody hears its workers
         self.ready = False  # the records of this part have been read since it was claimed
         self.over: dict[AllotKey, dict[int, TaskRun]] = defaultdict(dict)  # ended or gone, and not recorded as that
         self.attention: dict[str, None] = {}  # machines that may need a command
@@ -504,7 +505,7 @@
             oldest = min(run.over_at for run in runs.values())
             if (
                 self.now - oldest >= gather_s
-                or any(entry.state == records.FREE for entry in entries.values())
+                or any(entry.state != records.ENDED for entry in entries.values())
                 or all(e.state == records.ENDED or e.index in entries for e in record.tasks)
             ):
                 out[where] = entries
@@ -514,7 +515,7 @@
         done = run.phase is Phase.EXITED and run.why == wire.WHY_DONE and not self._is_service(state, run)
         if done or not live(state, run.where.job):
             return records.ENDED  # done, or nobody will want it again
-        return records.FREE
+        return records.RETURNED if self.dark else records.FREE  # there is no room for it here
 
 
 def live(state: State, job: str) -> bool:
@@ -524,10 +525,10 @@
 
 
 _BEFORE = {
-    records.ASSIGNED: (records.FREE, 1),
-    records.RETURNED: (records.FREE, 0),
-    records.ENDED: (records.ASSIGNED, 0),
-    records.FREE: (records.ASSIGNED, 0),
+    records.ASSIGNED: {(records.FREE, 1)},
+    records.RETURNED: {(records.FREE, 0), (records.ASSIGNED, 0)},
+    records.ENDED: {(records.ASSIGNED, 0)},
+    records.FREE: {(records.ASSIGNED, 0)},
 }
 
 
@@ -536,7 +537,7 @@
     out, changed = [], False
     for entry in record.tasks:
         new = changes.get(entry.index)
-        if new is not None and (entry.state, new.attempt - entry.attempt) == _BEFORE[new.state]:
+        if new is not None and (entry.state, new.attempt - entry.attempt) in _BEFORE[new.state]:
             entry, changed = new, True
         out.append(entry)
     return AllotRecord(out) if changed else None
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -36,6 +36,7 @@
 
     def __init__(self, longest_wait_s: float = float("inf"), guarantee_wait_s: float = 0.0) -> None:
         self.longest_wait_s, self.guarantee_wait_s = longest_wait_s, guarantee_wait_s
+        self.silent_s = float("inf")  # a machine not heard for longer takes no tasks
         self._since: dict[tuple[str, int], float] = {}
         self._allots: dict[AllotKey, float] = {}
         self._claims: dict[tuple[str, int], tuple[float, int]] = {}  # until when, on which machine
@@ -105,7 +106,9 @@
         out = []
         for room in self.view.zone_rooms[self.view.zones.index(self.part.zone)].values():
             machine = self.part.machines.get(self.view.machines.name(room.machine))
-            if machine is not None and machine.usable(self.now):
+            if machine is None or not machine.usable(self.now):
+                continue
+            if self.now - (machine.heard_at or self.now) <= self.placer.silent_s:
                 out.append(room)
         return out
 
@@ -259,8 +262,9 @@
         return True
 
     def _stuck(self, since: float) -> bool:
-        """Nothing of the queue moves: machines that were to come up here are late, or others took the room."""
-        return self.now - max(since, self.placer.moved_at, self.part.grew_at) > GIVE_BACK_STUCK_S
+        """Nothing of the queue moves: machines that were to come up here are late, others took the room, or nobody hears
+        the zone."""
+        return self.part.dark or self.now - max(since, self.placer.moved_at, self.part.grew_at) > GIVE_BACK_STUCK_S
 
     def _better_elsewhere(self, job: JobView) -> bool:
         """The task would fit on a machine of another part, for a replica also by preemption there.
--- a/spurarch/coordination/returning.py
+++ b/spurarch/coordination/returning.py
@@ -10,6 +10,7 @@
 CUT_SILENCE_S = 2.5
 CUT_REPORTS = 2.2
 FIND_S = 5.5
+LOST_LEASES = 3.0
 
 
 def cut_off(part: Part, workers: Workers, now: float, woke_at: float = 0.0) -> bool:
@@ -19,7 +20,7 @@
     from `woke_at` at the earliest: before that this process itself stood still.
     """
     limit = max(CUT_SILENCE_S, CUT_REPORTS * workers.report_s)
-    known = [m for m in part.machines.values() if m.standing is Standing.KNOWN and not m.returning]
+    known = [m for m in part.machines.values() if m.standing in (Standing.KNOWN, Standing.LOST) and not m.returning]
     if known:
         silent = sum(now - max(m.heard_at or m.first_seen, woke_at) > limit for m in known)
         return silent >= 2 and 2 * silent > len(known)
@@ -57,6 +58,9 @@
         # An old holder that is cut off from all but its workers may keep it alive, so time proves nothing, and its
         # return would end healthy work. Such a holder stops in the end, and then its workers look for us.
         return now - max(part.taken_at, machine.first_seen, woke_at) > max(workers.lease_s * 1.5, old_holder_s + FIND_S)
+    if machine.standing is Standing.LOST:
+        # Its tasks are free already. A zone that was cut off comes back, and its machines with it.
+        return now - max(machine.heard_at or machine.first_seen, woke_at) > LOST_LEASES * workers.lease_s
     patience = max(tuning.silent_return_s, 2.5 * workers.report_s) if machine.runs else workers.lease_s * 2
     if machine.deaf:
         return now - max(machine.asked_at or now, woke_at) > patience
--- a/spurarch/protocol/hints.py
+++ b/spurarch/protocol/hints.py
@@ -27,11 +27,15 @@
 
 
 class Load(Struct, tag="load", array_like=True):
-    """Changes a second that the sender made of late, and whether more wait in line: rates are lent by this."""
+    """Changes a second that the sender made of late, and whether more wait in line: rates are lent by this.
+
+    `strangers` are the workers that reported to the sender in the last seconds though another holds their zone.
+    """
 
     node: str
     writes: float
     hungry: bool
+    strangers: list[tuple[str, int]] = []
 
 
 Hint = Wake | Ping | Pong | Load
