Silence is judged apart from rounds, and a suspected cut returns nobody

Now silence is looked at every second beside the rounds, at once when a peer hears workers of ours; while more than a third of a part is late with its reports, no machine that may live is returned. Idle machines still go in line with placing. The new test fails on the former code.

--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -174,6 +174,7 @@
         hint = hints.decode(frame)
         if isinstance(hint, hints.Load):
             self._loads[hint.node] = hint, time.monotonic()
+            self.holder.hear(hint.node, dict(hint.strangers))
             return hints.encode(hints.Wake())
         if isinstance(hint, hints.Wake):
             await curio.spawn(self._follow, daemon=True)
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -23,7 +23,7 @@
 from spurarch.coordination.pulse import Pulse
 from spurarch.coordination.reach import Reach
 from spurarch.coordination.refining import refine
-from spurarch.coordination.returning import cut_off, machines_to_return
+from spurarch.coordination.returning import cut_off, idle_machines, silent_machines
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import Deployment, Tuning
@@ -46,6 +46,7 @@
 DIRECT_SHARE, DIRECT_MOST = 8, 150  # of all sockets, one in so many is for connections to workers
 SILENT_REPORTS = 2.5
 STRANGERS_S = 5.0  # a worker that looks for its holder comes by more often than that
+STRANGERS = 2  # that many, since a single one may be a late copy of a report
 BLIND_S = 6.0  # most of a part is silent, and no peer says what it hears
 MOVE_S = 15.0
 FRESH_S = 2.0
@@ -68,7 +69,9 @@
         self.next_search = 0.0
         self.next_tick = 0.0
         self.next_returns = 0.0
+        self.next_look = 0.0
         self.working = False
+        self.cut = False
         self.cut_since: float | None = None  # most machines are silent
 
 
@@ -214,13 +217,15 @@
 
     async def _run_commands(self, held: Held) -> None:
         """Stops and starts go out while transactions wait in line: a cancelled job's tasks have to leave in time,
-        however short changes are (docs/incidents/2026-12-02-commands-behind-records.md)."""
+        however short changes are (docs/incidents/2026-12-02-commands-behind-records.md). Silence is judged here too: in
+        a round it was found late, and a controller cut from its workers returned them before it noticed."""
         while self.held.get(held.part.zone) is held and self._owns(held.part):
             await curio.sleep(TICK_S)
             try:
                 if held.part.ready and self._owns(held.part):
                     self._obey_cancels(held)
                     await self._send(held)
+                    await self._watch_silence(held, time.monotonic())
             except curio.CancelledError:
                 raise
             except Exception:  # must not end the controller
@@ -283,7 +288,7 @@
         await self._commit(held, changes, writes)
         self._refine(held, now)
         await self._send(held)
-        await self._returns(held, now)
+        await self._return_idle(held, now)
 
     def _gather_s(self) -> float:
         """How long ends are gathered: not at all while changes are to be had, longer the scarcer they are."""
@@ -484,28 +489,38 @@
 
     # Returning machines
 
-    async def _returns(self, held: Held, now: float) -> None:
-        """Starts the return of machines that are idle, silent, or were never seen by this holder."""
-        part = held.part
-        if now < held.next_returns or not self._fresh(now):
+    async def _watch_silence(self, held: Held, now: float) -> None:
+        """Starts the return of machines that are silent, deaf, or were never seen by this holder."""
+        if now < held.next_look or not self._fresh(now):
             return
-        held.next_returns = now + RETURNS_S
-        cut = cut_off(part, self.deployment.workers, now, self._pulse.woke_at)
-        self._note_cut(held, cut, now)
-        found = machines_to_return(
-            part, self.view, self.tuning, self.deployment.workers, self.reach.limit, now, cut, self._pulse.woke_at
-        )  # fmt: skip
-        found = [m for m in found if m.return_after <= now]
-        idle = [m for m in found if m.standing is Standing.KNOWN and not m.runs][:RETURN_AT_ONCE]
-        others = [m for m in found if m.standing is not Standing.KNOWN or m.runs][:RETURN_AT_ONCE]
-        # Tasks wait for the return of silent machines, so that must not wait for the records of idle ones.
-        for machines in (others, idle):
-            if machines:
-                for machine in machines:
-                    machine.returning = True
-                await curio.spawn(self._return, held, machines, daemon=True)
-
-    def _note_cut(self, held: Held, cut: bool, now: float) -> None:
+        held.next_look = now + RETURNS_S
+        workers, woke_at = self.deployment.workers, self._pulse.woke_at
+        held.cut = cut_off(held.part, workers, now, woke_at)
+        self._note_cut(held, now)
+        found = silent_machines(held.part, self.tuning, workers, self.reach.limit, now, held.cut, woke_at)
+        await self._start_return(held, found, now)
+
+    async def _return_idle(self, held: Held, now: float) -> None:
+        """Starts the return of machines without work; in line with placing, which might give them some."""
+        if now >= held.next_returns and self._fresh(now) and not held.cut:
+            held.next_returns = now + RETURNS_S
+            await self._start_return(held, idle_machines(held.part, self.view, self.tuning, now), now)
+
+    async def _start_return(self, held: Held, found: list[Machine], now: float) -> None:
+        machines = [m for m in found if m.return_after <= now][:RETURN_AT_ONCE]
+        if machines:
+            for machine in machines:
+                machine.returning = True
+            await curio.spawn(self._return, held, machines, daemon=True)
+
+    def hear(self, node: str, strangers: dict[str, int]) -> None:
+        """A peer says which workers look for their holder there."""
+        self.heard_elsewhere[node] = strangers
+        for zone in strangers:
+            if zone in self.held:
+                self.held[zone].next_look = 0.0  # what is left of those workers' leases is short
+
+    def _note_cut(self, held: Held, now: float) -> None:
         """Most machines of a part fell silent: whose fault is it?
 
         If others hear those workers, this controller is cut off from them, and another should take the part. If nobody
@@ -513,13 +528,13 @@
         their leases have run out (a new holder would have to wait for longer, or return them all).
         """
         part, zone = held.part, held.part.zone
-        if not cut:
+        if not held.cut:
             held.cut_since, part.dark = None, False
         else:
             held.cut_since = now if held.cut_since is None else held.cut_since
             elsewhere = sum(heard.get(zone, 0) for heard in self.heard_elsewhere.values())
             blind = not self.heard_elsewhere and now - held.cut_since > BLIND_S
-            if elsewhere >= 2 or blind:
+            if elsewhere >= max(1, min(STRANGERS, len(part.machines) // 4)) or blind:
                 if not part.dark or elsewhere:
                     self.membership.note_unfit(zone, now)
                     log.warning("most machines of %s are silent: another controller should take the part", zone)
--- a/spurarch/coordination/returning.py
+++ b/spurarch/coordination/returning.py
@@ -9,6 +9,7 @@
 
 CUT_SILENCE_S = 2.5
 CUT_REPORTS = 2.2
+SUSPECT_REPORTS, SUSPECT_SHARE = 1.6, 1 / 3
 FIND_S = 5.5
 LOST_LEASES = 3.0
 
@@ -34,19 +35,29 @@
     return unknown >= 2
 
 
-def machines_to_return(
-    part: Part, view: FleetView, tuning: Tuning, workers: Workers, old_holder_s: float, now: float, cut: bool,
-    woke_at: float = 0.0,
-) -> list[Machine]:  # fmt: skip
-    """Silent machines, whose return is the fastest proof that their tasks are off, and idle ones beyond headroom.
+def silent_machines(
+    part: Part, tuning: Tuning, workers: Workers, old_holder_s: float, now: float, cut: bool, woke_at: float = 0.0
+) -> list[Machine]:
+    """Silent and deaf machines to return, which is the fastest proof that their tasks are off.
 
     `old_holder_s` is how long a holder before us may go on answering workers after it was last heard of.
     """
     out = [m for m in part.machines.values() if _silent(part, m, tuning, workers, old_holder_s, now, woke_at)]
-    if cut:
+    if cut or _suspect(part, workers, now, woke_at):
         # Those that nobody answered for longer than a lease are no loss, whoever is cut off.
         return [m for m in out if m.standing is not Standing.KNOWN]
-    return out + _idle(part, view, tuning, now)
+    return out
+
+
+def _suspect(part: Part, workers: Workers, now: float, woke_at: float) -> bool:
+    """So many machines are late with their reports that this may be a cut, before it is plain to see.
+
+    When a controller is cut off, the first machines pass the patience for a single one before half of them pass the
+    limit for a cut: a quarter of a healthy zone was once returned in that second.
+    """
+    known = [m for m in part.machines.values() if m.standing is Standing.KNOWN and not m.returning]
+    late = sum(now - max(m.heard_at or m.first_seen, woke_at) > SUSPECT_REPORTS * workers.report_s for m in known)
+    return late >= 2 and late > SUSPECT_SHARE * len(known)
 
 
 def _silent(
@@ -67,7 +78,7 @@
     return now - max(machine.heard_at or machine.first_seen, woke_at) > patience
 
 
-def _idle(part: Part, view: FleetView, tuning: Tuning, now: float) -> list[Machine]:
+def idle_machines(part: Part, view: FleetView, tuning: Tuning, now: float) -> list[Machine]:
     """Machines without a task: emptied ones at once, others after a while and beyond the share of room set aside."""
     total = sum(r.cpus for r in view.rooms.values() if r.open)
     free = sum(max(0.0, r.free_cpus) for r in view.rooms.values() if r.open)
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -7,7 +7,7 @@
 from spurarch.coordination.controller import SOCKETS_RESERVED
 from spurarch.coordination.holder import direct_connections
 from spurarch.coordination.pulse import GAP_S, Pulse
-from spurarch.coordination.returning import cut_off, machines_to_return
+from spurarch.coordination.returning import cut_off, silent_machines
 from spurarch.settings import Tuning, Workers
 from tests.test_scale import Fleet
 
@@ -31,7 +31,7 @@
 
     def found(now: float, woke_at: float) -> int:
         cut = cut_off(fleet.part, WORKERS, now, woke_at)
-        return cut + len(machines_to_return(fleet.part, fleet.view, Tuning(), WORKERS, 15.0, now, cut, woke_at))
+        return cut + len(silent_machines(fleet.part, Tuning(), WORKERS, 15.0, now, cut, woke_at))
 
     assert found(woke, 0.0)
     assert not found(woke, woke)
@@ -55,3 +55,21 @@
     reports = sockets - direct_connections(sockets) - SOCKETS_RESERVED
     assert reports >= machines + 100  # users
     assert reports + direct_connections(sockets) + SOCKETS_RESERVED <= sockets
+
+
+def test_the_first_silent_machines_of_a_cut_are_not_returned() -> None:
+    """37 healthy machines with tasks were, on the apart day, before most of the part had been silent for long enough."""
+    fleet = Fleet(10)
+    workers = Workers(3.0, 18.0, 48.0)
+    for i, machine in enumerate(fleet.part.machines.values()):
+        machine.heard_at = 100.0 - 0.3 * i  # the cut begins at 100
+
+    def returned(now: float) -> int:
+        cut = cut_off(fleet.part, workers, now)
+        return len(silent_machines(fleet.part, Tuning(), workers, 26.0, now, cut))
+
+    assert not any(returned(100.0 + n / 4) for n in range(60))
+    fleet.part.machines["vm-9"].heard_at = 90.0
+    for machine in list(fleet.part.machines.values())[:9]:
+        machine.heard_at = 100.0
+    assert returned(101.0) == 1  # one alone is silent
