Arrays stand in line for changes beside the rounds, so replicas no longer wait with them

Now each part and the leader have one bulk commit under way beside their rounds; rounds book its room and leave its allotments alone.

--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -358,29 +359,45 @@
     async def _commit(self, held: Held, changes: dict[AllotKey, dict[int, TaskEntry]], extra: list[Write]) -> None:
         """Writes what changed, in transactions within the limits that guard the part and the jobs.
 
-        Machines and replicas go before arrays, whose ends go with their starts; clean-up waits until nothing else does.
-        Nothing here stands in line for long: a replica that has to start would wait behind it
-        (tests/test_scale.py).
+        Machines and replicas go first. The rest may stand in line for long, so it goes on beside the rounds: a replica
+        that has to start meanwhile would wait with it (tests/test_bursts.py). Ends of arrays go with
+        their starts; clean-up waits until nothing else does.
         """
-        part, groups = held.part, self._by_urgency(held.part, changes, extra)
-        for urgency, group in groups.items():
-            if urgency is Urgency.ENDS and not self.replica.store.ready(urgency):
-                continue
-            batches = self._batches(part.zone, group)
-            for batch in batches[:MOST_BATCHES]:
-                await self._commit_batch(part, batch, urgency)
-                await self._send(held)
-            if len(batches) > MOST_BATCHES:
-                await held.bell.set()
+        groups = self._by_urgency(held.part, changes, extra, held.placer.pending)
+        await self._commit_some(held, groups[Urgency.REPLICAS], Urgency.REPLICAS)
+        if not held.placer.pending:
+            cleaning = groups[Urgency.ENDS] if self.replica.store.ready(Urgency.ENDS) else []
+            bulk = groups[Urgency.STARTS]
+            held.placer.pending = {c.where: c.entries or {} for c in (*bulk, *cleaning) if c.where is not None}
+            if held.placer.pending:
+                await curio.spawn(self._commit_bulk, held, bulk, cleaning, daemon=True)
+
+    async def _commit_bulk(self, held: Held, bulk: list[_Change], cleaning: list[_Change]) -> None:
+        try:
+            await self._commit_some(held, bulk, Urgency.STARTS)
+            await self._commit_some(held, cleaning, Urgency.ENDS)
+        except curio.CancelledError:
+            raise
+        except Exception:  # must not end the controller
+            log.exception("transactions of part %s failed", held.part.zone)
+        finally:
+            held.placer.pending = {}
+        await held.bell.set()
+
+    async def _commit_some(self, held: Held, group: list[_Change], urgency: Urgency) -> None:
+        """Makes some of the changes; what is left is planned again, with what came meanwhile in its place."""
+        for batch in self._batches(held.part.zone, group)[:MOST_BATCHES]:
+            await self._commit_batch(held.part, batch, urgency)
+            await self._send(held)
 
     def _by_urgency(
-        self, part: Part, changes: dict[AllotKey, dict[int, TaskEntry]], extra: list[Write]
+        self, part: Part, changes: dict[AllotKey, dict[int, TaskEntry]], extra: list[Write], pending: Iterable[AllotKey]
     ) -> dict[Urgency, list[_Change]]:
         out: dict[Urgency, list[_Change]] = {Urgency.REPLICAS: [_Change(write) for write in extra], Urgency.STARTS: []}
         cleaning = part.left_over(self.replica.state)
         out[Urgency.ENDS] = [_Change(Write(str(where), None), where) for where in cleaning]
         for where, entries in changes.items():
-            if where in cleaning:
+            if where in cleaning or where in pending:
                 continue
             job = self.view.jobs.get(where.job)
             starting = any(e.state == records.ASSIGNED for e in entries.values())
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -65,6 +65,7 @@
         self.booting: dict[str, Booting] = {}
         self._closed: dict[Kind, float] = {}
         self._hires = 0
+        self._admitting = False  # arrays, in a transaction that is under way
         self._led_since: float | None = None
         self._listed = False
         self._dirty = replica.state.subscribe()
@@ -117,7 +118,10 @@
         replicas = [grant for grant in plan.grants if self.view.jobs[grant.job].service]
         arrays = [grant for grant in plan.grants if not self.view.jobs[grant.job].service]
         await self._admit(replicas, Urgency.REPLICAS)
-        await self._admit(arrays, Urgency.STARTS)
+        if arrays and not self._admitting:
+            # They may stand in line for long, and replicas must not wait with them.
+            self._admitting = True
+            await curio.spawn(self._admit_arrays, arrays, daemon=True)
 
     def _note_shortages(self, plan: Plan) -> None:
         """What all rounds from the first job to the last found short, so that a plan cut off by time rents no less."""
@@ -130,6 +134,16 @@
 
     # Admission
 
+    async def _admit_arrays(self, grants: list[Grant]) -> None:
+        try:
+            await self._admit(grants, Urgency.STARTS)
+        except curio.CancelledError:
+            raise
+        except Exception:  # must not end the controller
+            log.exception("admission failed")
+        finally:
+            self._admitting = False
+
     async def _admit(self, grants: list[Grant], urgency: Urgency) -> None:
         by_job: dict[str, list[Grant]] = {}
         for grant in grants:
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -36,6 +36,7 @@
 
     def __init__(self, longest_wait_s: float = float("inf"), guarantee_wait_s: float = 0.0) -> None:
         self.longest_wait_s, self.guarantee_wait_s = longest_wait_s, guarantee_wait_s
+        self.pending: dict[AllotKey, dict[int, TaskEntry]] = {}  # changes that are under way
         self.silent_s = float("inf")  # a machine not heard for longer takes no tasks
         self._since: dict[tuple[str, int], float] = {}
         self._allots: dict[AllotKey, float] = {}
@@ -118,7 +119,9 @@
         self._reserved = self._reserve()
         self._roomy = [room for room in self.rooms if room.free_cpus > EPSILON]
         part, view = self.part, self.view
-        order = sorted((w for w in part.free if w.job in view.jobs and self._wanted(w.job)), key=self._rank)
+        self._book_pending()
+        free = [w for w in part.free if w not in self.placer.pending]
+        order = sorted((w for w in free if w.job in view.jobs and self._wanted(w.job)), key=self._rank)
         for _, equals in groupby(order, key=lambda where: self._rank(where)[0][:2]):
             for place, wheres in self._turns(list(equals)):
                 for where in wheres:
@@ -127,6 +130,17 @@
                         return
                     place(where, view.jobs[where.job])
 
+    def _book_pending(self) -> None:
+        """Starts whose transaction waits in line have their room already."""
+        by_name = {self.view.machines.name(room.machine): room for room in self.rooms} if self.placer.pending else {}
+        for where, entries in self.placer.pending.items():
+            self.waiting.update((where.job, entry.index) for entry in self.part.free.get(where, ()))
+            job = self.view.jobs.get(where.job)
+            for entry in entries.values():
+                room = by_name.get(entry.machine)
+                if entry.state == records.ASSIGNED and job is not None and room is not None:
+                    self.draft.take(room, job.need)
+
     def _wanted(self, ref: str) -> bool:
         trouble = self.part.trouble.get(ref)
         return live(self.view.state, ref) and (trouble is None or trouble.not_before <= self.now)
--- a/tests/test_bursts.py
+++ b/tests/test_bursts.py
@@ -115,3 +115,15 @@
     assert [where.job for where in first.entries] == ["job-2"]
     late = placer.run(fleet.part, fleet.view, 2.0 + 11.0, lambda: False, 100)  # a fetch takes 10 s
     assert [where.job for where in late.entries] == ["job-1"]
+
+
+def test_a_start_that_waits_in_line_keeps_its_room() -> None:
+    """Starts of arrays stand in line beside the rounds; a round that comes meanwhile must not give their room away, nor
+    plan them a second time."""
+    fleet, placer = warm_fleet(), Placer()
+    first = placer.run(fleet.part, fleet.view, 2.0, lambda: False, 100)
+    assert [where.job for where in first.entries] == ["job-2"]
+    placer.pending = first.entries
+    assert not placer.run(fleet.part, fleet.view, 2.0 + 11.0, lambda: False, 100).entries
+    placer.pending = {}
+    assert placer.run(fleet.part, fleet.view, 2.0 + 11.5, lambda: False, 100).entries
