--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -90,8 +90,9 @@
         self._warm_cpus: dict[int, dict[int, float]] = {}
         self._nothing_coming: list[tuple[Need, int | None]] = []
         self._nobody_to_stop: list[tuple[Need, int | None]] = []
-        for job in view.jobs.values():
-            if not job.service and job.assigned and ahead_s > 0:
+        arrays = [job for job in view.jobs.values() if not job.service]
+        for job in arrays:
+            if job.assigned and ahead_s > 0:
                 rate = ahead_s * job.need.cpus * job.assigned / max(1, job.charged) / max(job.estimate_s, 1.0)
                 for zone, count in job.in_zone.items():
                     if zone not in closed:
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -56,7 +56,7 @@
         workers = deployment.workers
         self.reach = Reach([p.node for p in platform.peers], workers.cancel_s, workers.lease_s)
         self.pulse = Pulse()
-        self.view = FleetView(self.replica.state, deployment.teams)
+        self.view = FleetView(self.replica.state, deployment.teams, tuning.size_weight)
         self.holder = Holder(
             self.replica, self.membership, self.view, self.cloud, self.reach, self.pulse, deployment, tuning, network
         )  # fmt: skip
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -43,6 +43,7 @@
 GATHER_S = 3.0
 GATHER_BELOW = 0.8
 GATHER_SCARCE_S = 6.0
+CLEAN_S = 10.0
 DIRECT_S = 4.0
 DIRECT_SHARE, DIRECT_MOST = 8, 150  # of all sockets, one in so many is for connections to workers
 SILENT_REPORTS = 2.5
@@ -71,6 +72,7 @@
         self.next_tick = 0.0
         self.next_returns = 0.0
         self.next_look = 0.0
+        self.cleaned_at = 0.0
         self.working = False
         self.cut = False
         self.cut_since: float | None = None  # most machines are silent
@@ -360,29 +362,29 @@
         """Writes what changed, in transactions within the limits that guard the part and the jobs.
 
         Machines and replicas go first. The rest may stand in line for long, so it goes on beside the rounds: a replica
-        that has to start meanwhile would wait with it (tests/test_bursts.py). Ends of arrays go with
-        their starts; clean-up waits until nothing else does.
+        that has to start meanwhile would wait with it (tests/test_bursts.py). Ends of arrays go with their starts;
+        clean-up waits until nothing else does, or for `CLEAN_S`, since quotas wait for it.
         """
         groups = self._by_urgency(held.part, changes, extra, held.placer.pending)
         await self._commit_some(held, groups[Urgency.REPLICAS], Urgency.REPLICAS)
         if not held.placer.pending:
-            cleaning = groups[Urgency.ENDS] if self.replica.store.ready(Urgency.ENDS) else []
-            bulk = groups[Urgency.STARTS]
-            held.placer.pending = {c.where: c.entries or {} for c in (*bulk, *cleaning) if c.where is not None}
+            bulk, now = groups[Urgency.STARTS], time.monotonic()
+            if self.replica.store.ready(Urgency.ENDS) or now - held.cleaned_at > CLEAN_S:
+                held.cleaned_at = now
+                bulk = bulk + groups[Urgency.ENDS][: self.deployment.state.txn_ops]
+            held.placer.pending = {c.where: c.entries or {} for c in bulk if c.where is not None}
             if held.placer.pending:
-                await curio.spawn(self._commit_bulk, held, bulk, cleaning, daemon=True)
+                await curio.spawn(self._commit_bulk, held, bulk, daemon=True)
 
-    async def _commit_bulk(self, held: Held, bulk: list[_Change], cleaning: list[_Change]) -> None:
+    async def _commit_bulk(self, held: Held, bulk: list[_Change]) -> None:
         try:
             await self._commit_some(held, bulk, Urgency.STARTS)
-            await self._commit_some(held, cleaning, Urgency.ENDS)
         except curio.CancelledError:
             raise
         except Exception:  # must not end the controller
             log.exception("transactions of part %s failed", held.part.zone)
         finally:
             held.placer.pending = {}
-        await held.bell.set()
 
     async def _commit_some(self, held: Held, group: list[_Change], urgency: Urgency) -> None:
         """Makes some of the changes; what is left is planned again, with what came meanwhile in its place."""
--- a/spurarch/coordination/view.py
+++ b/spurarch/coordination/view.py
@@ -50,6 +50,16 @@
         """Tasks that wait for admission."""
         return self.tasks - self.charged - self.ended
 
+    @property
+    def to_start(self) -> int:
+        """Tasks that neither run nor have ended."""
+        return self.tasks - self.assigned - self.ended
+
+    @property
+    def work_left(self) -> float:
+        """CPU seconds of what has yet to start, by the owner's estimate."""
+        return self.to_start * self.need.cpus * max(self.estimate_s, 1.0)
+
     def starving(self, wall: float, longest_wait_s: float) -> bool:
         """Nothing of the job has run for the longest wait that users accept. Replicas go first in any case."""
         return not self.service and not self.assigned and not self.ended and wall - self.at > longest_wait_s
@@ -71,8 +81,8 @@
 class FleetView:
     """Tables of machines, jobs and teams."""
 
-    def __init__(self, state: State, teams: Iterable[Team]) -> None:
-        self.state = state
+    def __init__(self, state: State, teams: Iterable[Team], size_weight: float = 0.0) -> None:
+        self.state, self.size_weight = state, size_weight
         self.zones, self.types, self.teams = Names(), Names(), Names()
         self.images, self.machines = Names(), Names()
         self.rooms: dict[int, Room] = {}
@@ -89,6 +99,7 @@
         self._cached: dict[int, dict[int, None]] = defaultdict(dict)
         self._wanted: dict[str, int] = {}  # by job: tasks that are not over
         self._guaranteed: set[str] | None = None
+        self._usual: float | None = None  # allowance in seconds per CPU second of work, over the jobs that wait
         self._dirty = state.subscribe()
         for team in teams:
             self.limits[self.teams.index(team.name)] = team
@@ -106,6 +117,7 @@
             return
         keys = list(self._dirty)
         self._dirty.clear()
+        self._usual = None
         touched: dict[str, None] = {}
         allots: list[AllotKey] = []
         for key in keys:
@@ -167,9 +179,23 @@
         """
         if starving:
             return -1, False, job.at, job.at
-        due = job.due if job.due is not None else float("inf")
+        due = job.due + self._size_s(job) if job.due is not None else float("inf")
         return job.need.priority, job.ref not in self.guaranteed(), due, job.at
 
+    def _size_s(self, job: JobView) -> float:
+        """How much later than its deadline says a job comes in the order, by what of it has yet to start.
+
+        When more is asked than can be done, order by deadline alone makes nearly everybody late by a little: whoever is
+        due next has waited until it is too late. So the small go first, as in shortest-job-first, and a few of the large
+        are late instead of many jobs. A job of mean size comes `size_weight` of the usual allowance later.
+        """
+        if self._usual is None:
+            waiting = [j for j in self.jobs.values() if not j.service and j.due is not None and j.to_start > 0]
+            work = sum(j.work_left for j in waiting)
+            allowance = sum(j.due - j.at for j in waiting if j.due is not None)
+            self._usual = allowance / work if work > 0 else 0.0
+        return self.size_weight * self._usual * job.work_left
+
     def beyond(self, team: int) -> float:
         """CPUs that a team runs beyond its guarantee: borrowed, and to be given back."""
         limit = self.limits.get(team)
--- a/spurarch/settings.py
+++ b/spurarch/settings.py
@@ -137,6 +137,7 @@
     silent_return_s: NotNegative = 6.0
     longest_wait_s: Positive = 120.0
     ahead_s: NotNegative = 4.0
+    size_weight: NotNegative = 0.4
     guarantee_wait_s: NotNegative = 8.0
     seed: int = 1
 
--- a/tests/test_bursts.py
+++ b/tests/test_bursts.py
@@ -10,7 +10,9 @@
 from spurarch.bookkeeping.store import Store
 from spurarch.coordination.admission import Admission
 from spurarch.coordination.placing import Placer
+from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
+from spurarch.settings import Team
 from tests.sim.clock import Clock
 from tests.test_scale import Answering, Fleet, submission
 
@@ -127,3 +129,24 @@
     assert not placer.run(fleet.part, fleet.view, 2.0 + 11.0, lambda: False, 100).entries
     placer.pending = {}
     assert placer.run(fleet.part, fleet.view, 2.0 + 11.5, lambda: False, 100).entries
+
+
+def test_when_all_can_not_be_done_a_few_large_jobs_are_late_and_not_many_small_ones() -> None:
+    """By deadline alone, half of all jobs of a burst were late by a little: each had waited until it was too late."""
+
+    def late(size_weight: float) -> int:
+        fleet = Fleet(0)
+        fleet.view = FleetView(fleet.state, [Team("t")], size_weight)
+        for i in range(12):  # room for one task at a time; every third job is large, and due first
+            spec = submission(f"job-{i}", 8 if i % 3 == 0 else 1)
+            spec.deadline_s = 40.0 + i % 3
+            fleet.put(f"{records.JOB}job-{i}", JobRecord(spec, 0.0))
+        fleet.view.update()
+        now, count = 0.0, 0
+        for job in sorted(fleet.view.jobs.values(), key=lambda job: fleet.view.rank(job, False)):
+            now += job.tasks * 4.0
+            count += job.due is not None and now > job.due
+        return count
+
+    assert late(0.0) == 11
+    assert late(0.4) == 4
