An admission is dropped unless what it was planned by still stands; one heard machine is no zone

Versions are now those of the plan. A cut is now judged over all machines of a part; rooms of a dark zone count neither as room elsewhere nor as headroom. A zone that comes back is dark no longer once one of its machines is heard, and its part is not given away then.

--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -62,10 +62,10 @@
 
     def __init__(
         self, view: FleetView, now: float, ahead_s: float = 0.0, longest_wait_s: float = float("inf"),
-        booting: Iterable[Room] = (), piece: int = 1, dark: Iterable[str] = (),
+        booting: Iterable[Room] = (), piece: int = 1,
     ) -> None:  # fmt: skip
         self.view, self.now, self.piece = view, now, piece
-        closed = {view.zones.index(zone) for zone in dark}  # nobody hears their workers
+        closed = set(map(view.zones.index, view.dark()))
         self._coming: dict[int, list[Room]] = defaultdict(list)  # by zone, machines that boot
         for room in booting:
             if room.zone not in closed:
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -49,6 +49,7 @@
 SILENT_REPORTS = 2.5
 STRANGERS_S = 5.0  # a worker that looks for its holder comes by more often than that
 STRANGERS = 2  # that many, since a single one may be a late copy of a report
+BACK_S = 2.0
 BLIND_S = 6.0  # most of a part is silent, and no peer says what it hears
 MOVE_S = 15.0
 FRESH_S = 2.0
@@ -119,7 +120,7 @@
         if heard is not None and (part is None or heard[1] > part.epoch) and heard[0] != self.membership.node:
             return 421, wire.encode(wire.Steer(heard[0]))  # a peer that reaches the store told us
         if self.membership.holds(report.zone) is None:
-            lost = report.zone in self.membership.dark()
+            lost = report.zone in self.view.dark()
             if report.zone in self.deployment.zones:
                 self._strangers.setdefault(report.zone, {})[report.machine] = now
             if lost:
@@ -548,15 +549,19 @@
         """
         part, zone = held.part, held.part.zone
         if not held.cut:
-            held.cut_since, part.dark = None, False
+            held.cut_since = None
+        elif held.cut_since is None:
+            held.cut_since = now
+        # Once the zone is back, some of its workers come here, though others go to other controllers first.
+        known = [m for m in part.machines.values() if m.standing is Standing.KNOWN]
+        if held.cut_since is None or any(now - (m.heard_at or 0.0) < BACK_S for m in known):
+            part.dark = False
         else:
-            held.cut_since = now if held.cut_since is None else held.cut_since
             elsewhere = sum(heard.get(zone, 0) for heard in self.heard_elsewhere.values())
             blind = not self.heard_elsewhere and now - held.cut_since > BLIND_S
-            if elsewhere >= max(1, min(STRANGERS, len(part.machines) // 4)) or blind:
-                if not part.dark or elsewhere:
-                    self.membership.note_unfit(zone, now)
-                    log.warning("most machines of %s are silent: another controller should take the part", zone)
+            if elsewhere >= max(1, min(STRANGERS, len(part.machines) // 4)) or (blind and not part.dark):
+                self.membership.note_unfit(zone, now)
+                log.warning("most machines of %s are silent: another controller should take the part", zone)
             elif not part.dark:
                 part.dark = True
                 log.warning("nobody hears the machines of %s", zone)
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -109,7 +109,7 @@
         scarce = min(1.0, max(0.0, 1.0 - self.replica.store.write_level()))
         admission = Admission(
             self.view, time.time(), self.tuning.ahead_s, self.tuning.longest_wait_s, coming,
-            max(1, round(PIECE * scarce)), self.membership.dark(),
+            max(1, round(PIECE * scarce)),
         )  # fmt: skip
         plan = admission.run(self._next_job, lambda: time.monotonic() > deadline, self.deployment.state.txn_ops)
         # A share of the processor at most, however much there is to admit.
@@ -117,11 +117,12 @@
         self._note_shortages(plan)
         replicas = [grant for grant in plan.grants if self.view.jobs[grant.job].service]
         arrays = [grant for grant in plan.grants if not self.view.jobs[grant.job].service]
-        await self._admit(replicas, Urgency.REPLICAS)
+        planned = {grant.job: self._as_planned(grant.job) for grant in plan.grants}
+        await self._admit(replicas, planned, Urgency.REPLICAS)
         if arrays and not self._admitting:
             # They may stand in line for long, and replicas must not wait with them.
             self._admitting = True
-            await curio.spawn(self._admit_arrays, arrays, daemon=True)
+            await curio.spawn(self._admit_arrays, arrays, planned, daemon=True)
 
     def _note_shortages(self, plan: Plan) -> None:
         """What all rounds from the first job to the last found short, so that a plan cut off by time rents no less."""
@@ -134,9 +135,16 @@
 
     # Admission
 
-    async def _admit_arrays(self, grants: list[Grant]) -> None:
+    def _as_planned(self, ref: str) -> dict[str, int]:
+        """Versions of what an admission of the job is decided by. A plan may wait while an earlier one is carried out:
+        tasks that this one moved are somewhere else by then, and moving them again would run them twice."""
+        state = self.replica.state
+        keys = [records.ADMISSION + ref, *(str(where) for where in state.allots.get(ref, {}))]
+        return {key: state.version(key) for key in keys}
+
+    async def _admit_arrays(self, grants: list[Grant], planned: dict[str, dict[str, int]]) -> None:
         try:
-            await self._admit(grants, Urgency.STARTS)
+            await self._admit(grants, planned, Urgency.STARTS)
         except curio.CancelledError:
             raise
         except Exception:  # must not end the controller
@@ -144,22 +152,23 @@
         finally:
             self._admitting = False
 
-    async def _admit(self, grants: list[Grant], urgency: Urgency) -> None:
+    async def _admit(self, grants: list[Grant], planned: dict[str, dict[str, int]], urgency: Urgency) -> None:
         by_job: dict[str, list[Grant]] = {}
         for grant in grants:
             by_job.setdefault(grant.job, []).append(grant)
         batch: list[Write] = []
         jobs: list[str] = []
         size = 0
-        planned = {ref: self.replica.state.version(records.ADMISSION + ref) for ref in by_job}
         for ref, mine in by_job.items():
-            if not live(self.replica.state, ref) or self.replica.state.version(records.ADMISSION + ref) != planned[ref]:
+            if not live(self.replica.state, ref) or not self._stands(ref, mine, planned[ref]):
                 continue
             writes = self._admission_writes(ref, mine)
             length = sum(records.change_bytes(w.record) for w in writes)
             if batch and (len(batch) + len(writes) > self.deployment.state.txn_ops or size + length > records.TXN_BYTES):
                 await self._commit(batch, jobs, urgency)
                 batch, jobs, size = [], [], 0
+                if not live(self.replica.state, ref) or not self._stands(ref, mine, planned[ref]):
+                    continue
                 writes = self._admission_writes(ref, mine)
             batch += writes
             size += length
@@ -167,6 +176,12 @@
         if batch:
             await self._commit(batch, jobs, urgency)
 
+    def _stands(self, ref: str, grants: list[Grant], planned: dict[str, int]) -> bool:
+        """What the plan for a job was decided by has not changed: its count, and the allotments that lose tasks."""
+        state = self.replica.state
+        keys = {records.ADMISSION + ref, *(str(source) for grant in grants for source in grant.moved)}
+        return all(state.version(key) == planned.get(key, 0) for key in keys)
+
     def _admission_writes(self, ref: str, grants: list[Grant]) -> list[Write]:
         """The job's count, its new allotments, and the old ones that lose tasks; as many as one transaction takes.
 
@@ -381,7 +396,7 @@
         self._settle_booting()
         now = time.monotonic()
         self._closed = {kind: until for kind, until in self._closed.items() if until > now}
-        dark = self.membership.dark()
+        dark = self.view.dark()
         orders = plan_rentals(
             self.view, self.shortages, [b.kind for b in self.booting.values() if b.kind.zone not in dark],
             set(self._closed), [zone for zone in self.deployment.zones if zone not in dark], Turnover(self.view, self.tuning.turnover_share), time.time(),
--- a/spurarch/coordination/membership.py
+++ b/spurarch/coordination/membership.py
@@ -106,12 +106,6 @@
         else:
             self._dark.discard(zone)
 
-    def dark(self) -> set[str]:
-        """Zones whose holder says that nobody hears their workers."""
-        state = self.replica.state
-        holders = {zone: state.members.get(part.node) for zone, part in state.parts.items()}
-        return {zone for zone, member in holders.items() if member is not None and zone in member.dark}
-
     async def run_lease(self) -> None:
         """Obtains and renews the lease that says that this controller lives."""
         while True:
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -292,9 +292,9 @@
         if shape not in self._elsewhere:
             queued = self._queues(need.priority)
             places: dict[int, int] = {}
-            here = self.view.zones.index(self.part.zone)
+            closed = set(map(self.view.zones.index, (self.part.zone, *self.view.dark())))
             for room in self.view.rooms.values():
-                if room.open and room.zone != here and room.allows(need):
+                if room.open and room.zone not in closed and room.allows(need):
                     places[room.zone] = places.get(room.zone, 0) + (
                         room.slots(need, MOST_SLOTS) if room.fits(need) else job.service and room.fits_by_preemption(need)
                     )
--- a/spurarch/coordination/returning.py
+++ b/spurarch/coordination/returning.py
@@ -21,18 +21,18 @@
     from `woke_at` at the earliest: before that this process itself stood still.
     """
     limit = max(CUT_SILENCE_S, CUT_REPORTS * workers.report_s)
-    known = [m for m in part.machines.values() if m.standing in (Standing.KNOWN, Standing.LOST) and not m.returning]
-    if known:
-        silent = sum(now - max(m.heard_at or m.first_seen, woke_at) > limit for m in known)
-        return silent >= 2 and 2 * silent > len(known)
-    # Workers need a while to find a new holder.
-    unknown = sum(
-        m.standing is Standing.UNKNOWN
-        and not m.returning
-        and now - max(part.taken_at, m.first_seen, woke_at) > limit + FIND_S
-        for m in part.machines.values()
-    )
-    return unknown >= 2
+    silent = total = 0
+    for machine in part.machines.values():
+        if machine.returning or machine.standing is Standing.GONE:
+            continue
+        total += 1
+        if machine.standing is Standing.UNKNOWN:
+            # Workers need a while to find a new holder. All count together: one machine that was heard once must not
+            # stand for a zone that nobody has heard since.
+            silent += now - max(part.taken_at, machine.first_seen, woke_at) > limit + FIND_S
+        else:
+            silent += now - max(machine.heard_at or machine.first_seen, woke_at) > limit
+    return silent >= 2 and 2 * silent > total
 
 
 def silent_machines(
@@ -80,8 +80,10 @@
 
 def idle_machines(part: Part, view: FleetView, tuning: Tuning, now: float) -> list[Machine]:
     """Machines without a task: emptied ones at once, others after a while and beyond the share of room set aside."""
-    total = sum(r.cpus for r in view.rooms.values() if r.open)
-    free = sum(max(0.0, r.free_cpus) for r in view.rooms.values() if r.open)
+    closed = set(map(view.zones.index, view.dark()))
+    rooms = [r for r in view.rooms.values() if r.open and r.zone not in closed]
+    total = sum(r.cpus for r in rooms)
+    free = sum(max(0.0, r.free_cpus) for r in rooms)
     out = []
     for room in view.zone_rooms[view.zones.index(part.zone)].values():
         machine = part.machines.get(view.machines.name(room.machine))
--- a/spurarch/coordination/view.py
+++ b/spurarch/coordination/view.py
@@ -153,6 +153,12 @@
             del self.jobs[ref]
             self._wanted.pop(ref, None)
 
+    def dark(self) -> set[str]:
+        """Zones whose holder says that nobody hears their workers: what is there is no room for anyone."""
+        members = self.state.members
+        holders = {zone: members.get(part.node) for zone, part in self.state.parts.items()}
+        return {zone for zone, member in holders.items() if member is not None and zone in member.dark}
+
     def guaranteed(self) -> set[str]:
         """Jobs that fit into their team's guarantee together with the team's earlier ones: they need not wait on others."""
         if self._guaranteed is None:
--- /dev/null
+++ b/tests/test_admission_order.py
@@ -0,0 +1,42 @@
+"""A plan of the leader that was overtaken by an earlier one while it waited."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+from spurarch.bookkeeping import records
+from spurarch.bookkeeping.records import AllotKey, AllotRecord, JobRecord, TaskEntry
+from spurarch.coordination.admission import Grant
+from spurarch.coordination.leader import Leader
+from tests.test_scale import Fleet, submission
+
+SOURCE = AllotKey("a", "job-1", 0)
+
+
+def leader_of(fleet: Fleet) -> Any:
+    """As much of a leader as decides what an admission writes."""
+    leader = Leader.__new__(Leader)
+    leader.replica = SimpleNamespace(state=fleet.state)  # type: ignore[assignment]
+    leader.view = fleet.view
+    leader.deployment = SimpleNamespace(state=SimpleNamespace(txn_ops=24))  # type: ignore[assignment]
+    leader._chunk = 100
+    return leader
+
+
+def test_tasks_that_an_earlier_plan_moved_are_not_moved_again() -> None:
+    """On a standard day 29 tasks ran twice: arrays are admitted beside the rounds, and a plan made while an earlier one
+    was under way moved the same returned tasks once more."""
+    fleet = Fleet(0)
+    fleet.put(f"{records.JOB}job-1", JobRecord(submission("job-1", 3), 0.0))
+    returned = [TaskEntry(n, records.RETURNED, 1) for n in range(2)]
+    fleet.put(str(SOURCE), AllotRecord([*returned, TaskEntry(2, records.ASSIGNED, 1, "vm-1", 1)]))
+    fleet.view.update()
+    leader = leader_of(fleet)
+    grant = Grant("job-1", fleet.view.zones.index("b"), [TaskEntry(0, records.FREE, 1)], {SOURCE: {0}})
+    planned = leader._as_planned("job-1")
+    assert leader._stands("job-1", [grant], planned)
+    for write in leader._admission_writes("job-1", [grant]):
+        fleet.put(write.key, write.record)
+    assert not leader._stands("job-1", [grant], planned)
+    assert leader._stands("job-1", [], leader._as_planned("job-1"))
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -6,6 +6,7 @@
 
 from spurarch.coordination.controller import SOCKETS_RESERVED
 from spurarch.coordination.holder import direct_connections
+from spurarch.coordination.machine import Standing
 from spurarch.coordination.pulse import GAP_S, Pulse
 from spurarch.coordination.returning import cut_off, silent_machines
 from spurarch.settings import Tuning, Workers
@@ -73,3 +74,14 @@
     for machine in list(fleet.part.machines.values())[:9]:
         machine.heard_at = 100.0
     assert returned(101.0) == 1  # one alone is silent
+
+
+def test_a_machine_heard_once_does_not_stand_for_a_zone_that_nobody_hears() -> None:
+    """A new holder that had heard one machine of a zone that is cut off took none of the others for silent; its part and
+    the leader passed hundreds of replicas to and fro, at four changes each, until no array could start."""
+    fleet = Fleet(10)
+    for i, machine in enumerate(fleet.part.machines.values()):
+        if i:
+            machine.standing, machine.heard_at = Standing.UNKNOWN, None
+    assert not cut_off(fleet.part, WORKERS, 6.0)  # the others may still be on their way to a new holder
+    assert cut_off(fleet.part, WORKERS, 30.0)
