Rounds cost less: one rank an allotment, no arrays planned while others stand in line

The choice between patient and other allotments built a set for each of them (90,000 hashes a round with 300 allotments), ranks were worked out twice, and arrays were planned in every round though none could be written while a transaction of arrays was under way.

--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -56,7 +56,7 @@
             turn.draft.undo()
         if any(e.state == records.ASSIGNED for entries in turn.result.entries.values() for e in entries.values()):
             self.moved_at = now
-        if not turn.result.unfinished:
+        if not turn.result.unfinished and not self.pending:
             self._since = {k: t for k, t in self._since.items() if k in turn.waiting}
             self._allots = {k: t for k, t in self._allots.items() if k in part.free}
             self._claims = {k: t for k, t in self._claims.items() if k in turn.waiting}
@@ -120,9 +120,11 @@
         self._roomy = [room for room in self.rooms if room.free_cpus > EPSILON]
         part, view = self.part, self.view
         self._book_pending()
-        free = [w for w in part.free if w not in self.placer.pending]
-        order = sorted((w for w in free if w.job in view.jobs and self._wanted(w.job)), key=self._rank)
-        for _, equals in groupby(order, key=lambda where: self._rank(where)[0][:2]):
+        # While arrays stand in line for changes, more of them can't be started, and their order may change.
+        free = [w for w in part.free if w.job in view.jobs and (not self.placer.pending or view.jobs[w.job].service)]
+        ranks = {w: self._rank(w) for w in free if w not in self.placer.pending and self._wanted(w.job)}
+        order = sorted(ranks, key=ranks.__getitem__)
+        for _, equals in groupby(order, key=lambda where: ranks[where][0][:2]):
             for place, wheres in self._turns(list(equals)):
                 for where in wheres:
                     if len(self.result.entries) >= most or out_of_time():
@@ -134,7 +136,6 @@
         """Starts whose transaction waits in line have their room already."""
         by_name = {self.view.machines.name(room.machine): room for room in self.rooms} if self.placer.pending else {}
         for where, entries in self.placer.pending.items():
-            self.waiting.update((where.job, entry.index) for entry in self.part.free.get(where, ()))
             job = self.view.jobs.get(where.job)
             for entry in entries.values():
                 room = by_name.get(entry.machine)
@@ -152,8 +153,10 @@
         it starts at once, without it fetches for seconds with the room idle. So a task that has waited for less than
         its fetch would take leaves the room to one that has its image there.
         """
-        patient = [where for where in wheres if self._patient(where)]
-        others = [where for where in wheres if where not in set(patient)]
+        patient: list[AllotKey] = []
+        others: list[AllotKey] = []
+        for where in wheres:
+            (patient if self._patient(where) else others).append(where)
         return [(self._place, others), (self._place_warm, patient), (self._place, patient)]
 
     def _patient(self, where: AllotKey) -> bool:
