A dark zone stays dark until one of its machines is heard; fewer give-backs while changes are short

Now a zone stays dark until one of its machines is heard, or for 60 s after its last one is gone; a task is given back after 5 s instead of 1 s while changes are scarce.

--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -51,6 +51,7 @@
 STRANGERS_S = 5.0  # a worker that looks for its holder comes by more often than that
 STRANGERS = 2  # that many, since a single one may be a late copy of a report
 BACK_S = 2.0
+EMPTY_S = 60.0
 BLIND_S = 6.0  # most of a part is silent, and no peer says what it hears
 MOVE_S = 15.0
 FRESH_S = 2.0
@@ -75,6 +76,7 @@
         self.next_returns = 0.0
         self.next_look = 0.0
         self.cleaned_at = 0.0
+        self.peopled_at = part.taken_at  # when the part last had machines
         self.working = False
         self.cut = False
         self.cut_since: float | None = None  # most machines are silent
@@ -556,9 +558,13 @@
             held.cut_since = now
         # Once the zone is back, some of its workers come here, though others go to other controllers first.
         known = [m for m in part.machines.values() if m.standing is Standing.KNOWN]
-        if held.cut_since is None or any(now - (m.heard_at or 0.0) < BACK_S for m in known):
+        if part.machines:
+            held.peopled_at = now
+        if any(now - (m.heard_at or 0.0) < BACK_S for m in known) or now - held.peopled_at > EMPTY_S:
+            # A dark zone whose machines have all been returned stays dark for a while: what is rented there would not be
+            # heard either, and what is admitted for it would come back, again and again.
             part.dark = False
-        else:
+        elif held.cut_since is not None:
             elsewhere = sum(heard.get(zone, 0) for heard in self.heard_elsewhere.values())
             blind = not self.heard_elsewhere and now - held.cut_since > BLIND_S
             if elsewhere >= max(1, min(STRANGERS, len(part.machines) // 4)) or (blind and not part.dark):
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -16,6 +16,7 @@
 
 GIVE_BACK_S = 1.0  # a task without room here, that would have some elsewhere
 GIVE_BACK_STUCK_S = 45.0  # a task without room anywhere: for so long nothing in the queue has moved
+GIVE_BACK_SCARCE_S = 5.0  # while changes are short
 STILL_GROWS_S = 10.0
 PREEMPT_WAIT_S = 8.0
 IMAGE_WAIT_S = 1.5
@@ -263,7 +264,7 @@
                 continue
             if guaranteed and self.now - since > self.placer.guarantee_wait_s and self._take_back(key, job):
                 continue
-            if self.now - since > GIVE_BACK_S and (job.gang or self._stuck(since) or self._better_elsewhere(job)):
+            if self.now - since > self._patience() and (job.gang or self._stuck(since) or self._better_elsewhere(job)):
                 self._give_back(where, entry)
 
     def _await_claim(self, where: AllotKey, job: JobView, entry: TaskEntry) -> bool:
@@ -280,6 +281,10 @@
         self.draft.take(room, job.need)
         return True
 
+    def _patience(self) -> float:
+        """How long a task waits before it may be given back: it takes four changes to bring it elsewhere."""
+        return GIVE_BACK_SCARCE_S if self.placer.scarce and not self.part.dark else GIVE_BACK_S
+
     def _stuck(self, since: float) -> bool:
         """Nothing of the queue moves: machines that were to come up here are late, others took the room, or nobody hears
         the zone."""
@@ -359,7 +364,7 @@
             since = self.placer.since(key, self.now)
             if self._make_room(key, need, self.rooms, PREEMPT_WAIT_S):
                 continue
-            if self.now - since > GIVE_BACK_S and (self._stuck(since) or self._better_elsewhere(job)):
+            if self.now - since > self._patience() and (self._stuck(since) or self._better_elsewhere(job)):
                 self._give_back(where, entry)
 
     def _has_image(self, room: Room, need: Need) -> bool:
