Without a word from peers a silent part is given away, not taken for dark; overdue clean-up first

Cause (found on reading the change again): a holder cut from its workers while controllers can't reach each other took its zone for dark at once, so the suspicion that was to give the part away after 6 s never came; the zone took no work until the cut ended. Clean-up was appended to starts and could be cut off by them for good; when overdue it goes first.

--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -52,7 +52,7 @@
 STRANGERS = 2  # that many, since a single one may be a late copy of a report
 BACK_S = 2.0
 EMPTY_S = 60.0
-BLIND_S = 6.0  # most of a part is silent, and no peer says what it hears
+BLIND_S = 6.0  # most of a part is silent, and no peer says what it hears: give the part away on suspicion
 MOVE_S = 15.0
 FRESH_S = 2.0
 
@@ -376,7 +376,7 @@
             bulk, now = groups[Urgency.STARTS], time.monotonic()
             if self.replica.store.ready(Urgency.ENDS) or now - held.cleaned_at > CLEAN_S:
                 held.cleaned_at = now
-                bulk = bulk + groups[Urgency.ENDS][: self.deployment.state.txn_ops]
+                bulk = groups[Urgency.ENDS][: self.deployment.state.txn_ops] + bulk
             held.placer.pending = {c.where: c.entries or {} for c in bulk if c.where is not None}
             if held.placer.pending:
                 await curio.spawn(self._commit_bulk, held, bulk, daemon=True)
@@ -570,7 +570,7 @@
             if elsewhere >= max(1, min(STRANGERS, len(part.machines) // 4)) or (blind and not part.dark):
                 self.membership.note_unfit(zone, now)
                 log.warning("most machines of %s are silent: another controller should take the part", zone)
-            elif not part.dark:
+            elif not part.dark and self.heard_elsewhere:
                 part.dark = True
                 log.warning("nobody hears the machines of %s", zone)
         self.membership.note_dark(zone, part.dark)
