News for ends of jobs are dropped on controllers that don't lead

Cause (found on reading the change again): since ends of jobs have rounds of their own, the keys that they look at were gathered without end on controllers that never lead. The new test fails without the line.

--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -84,11 +84,12 @@
                         self._led_since = time.monotonic()
                         await self.replica.sync()
                         self._dirty.clear()
-                        self._ending = dict.fromkeys(self.replica.state.jobs)  # a new leader looks at all jobs once
+                        self._ending = dict.fromkeys(self.replica.state.jobs)
                         self._next_job, self._shortages_so_far = None, []
                     await self._round()
                 else:
                     self._led_since, self._listed = None, False
+                    self._dirty.clear()  # a new leader looks at all jobs once
             except curio.CancelledError:
                 raise
             except Exception:  # a failure in one round must not end the controller
@@ -399,7 +400,8 @@
         dark = self.view.dark()
         orders = plan_rentals(
             self.view, self.shortages, [b.kind for b in self.booting.values() if b.kind.zone not in dark],
-            set(self._closed), [zone for zone in self.deployment.zones if zone not in dark], Turnover(self.view, self.tuning.turnover_share), time.time(),
+            set(self._closed), [zone for zone in self.deployment.zones if zone not in dark],
+            Turnover(self.view, self.tuning.turnover_share), time.time(),
         )  # fmt: skip
         for order in orders:
             await self._hire(order)
--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -5,10 +5,13 @@
 from types import SimpleNamespace
 from typing import Any
 
+import curio
+
 from spurarch.bookkeeping import records
 from spurarch.bookkeeping.records import AllotKey, AllotRecord, JobRecord, TaskEntry
 from spurarch.coordination.admission import Grant
 from spurarch.coordination.leader import Leader
+from tests.sim.clock import Clock
 from tests.test_scale import Fleet, submission
 
 SOURCE = AllotKey("a", "job-1", 0)
@@ -40,3 +43,20 @@
         fleet.put(write.key, write.record)
     assert not leader._stands("job-1", [grant], planned)
     assert leader._stands("job-1", [], leader._as_planned("job-1"))
+
+
+def test_a_controller_that_does_not_lead_gathers_no_news() -> None:
+    """Ends of jobs have rounds of their own; what they collect from must not grow on controllers that never lead."""
+    fleet = Fleet(3)
+    leader = leader_of(fleet)
+    leader.replica = SimpleNamespace(state=fleet.state, loaded=True)
+    leader.membership = SimpleNamespace(leading=False)
+    leader._bell = curio.Event()
+    leader._dirty = fleet.state.subscribe()
+    assert leader._dirty
+
+    async def play() -> None:
+        await curio.ignore_after(2.0, leader.run)
+
+    Clock().run(play)
+    assert not leader._dirty
