A test that could not fail now does: room of waiting starts is kept from replicas

Found on rereading: since arrays are left out of rounds while others stand in line, the test of their booked room passed without the booking. It now asks for the room with a replica, and fails when the booking is taken out.

--- a/tests/test_bursts.py
+++ b/tests/test_bursts.py
@@ -129,11 +129,16 @@
 
 
 def test_a_start_that_waits_in_line_keeps_its_room() -> None:
-    """Starts of arrays stand in line beside the rounds; a round that comes meanwhile must not give their room away, nor
-    plan them a second time."""
+    """Starts of arrays stand in line beside the rounds; a round that comes meanwhile must not give their room to a
+    replica."""
     fleet, placer = warm_fleet(), Placer()
     first = placer.run(fleet.part, fleet.view, 2.0, lambda: False, 100)
     assert [where.job for where in first.entries] == ["job-2"]
+    spec = submission("job-3", 1)
+    spec.kind = wire.SERVICE
+    fleet.put(f"{records.JOB}job-3", JobRecord(spec, 2.0))
+    fleet.put(str(AllotKey("a", "job-3", 0)), AllotRecord([TaskEntry(0)]))
+    fleet.news([f"{records.JOB}job-3", str(AllotKey("a", "job-3", 0))])
     placer.pending = first.entries
     assert not placer.run(fleet.part, fleet.view, 2.0 + 11.0, lambda: False, 100).entries
     placer.pending = {}
