The gap: peers pass on cancellations whether or not they reach the store, and vouch for themselves

Cause: answers of all peers that they don't reach the state service counted as a word.

Now a peer's answer always holds what is cancelled and who holds which part, with the age of its copy; it vouches for its node only if its process has read the service, or started before an earlier word. Confirming controllers push a hint. A part taken just before an outage stops cancelled tasks before its records can be read. Machines whose cancelled task won't show that it left are returned, in an outage too; those that fell silent with one no longer wait for three leases. A machine put on record by a late transaction after its return is gone at once. Machines left out of a return stayed closed for ever.

test_word_lasts_until_a_cancel_could_be_missed asserted the gap itself (silence of all peers is a word); its successors assert who may vouch, and what a copy's age is worth.

--- a/spurarch/bookkeeping/records.py
+++ b/spurarch/bookkeeping/records.py
@@ -23,11 +23,13 @@
 
 
 class JobRecord(Struct):
-    """A job that is not over. `at` is the wall clock of its submission and only orders jobs."""
+    """A job that is not over. `at` is the wall clock of its submission and only orders jobs; `cancelled_at` that of its
+    cancellation, by which a holder that learns of it late knows what is left of `cancel_s`."""
 
     spec: Submission
     at: float
     cancelled: bool = False
+    cancelled_at: float = 0.0
 
 
 class AdmissionRecord(Struct, array_like=True):
--- a/spurarch/bookkeeping/replica.py
+++ b/spurarch/bookkeeping/replica.py
@@ -190,7 +190,7 @@
         self.state = State()
         self.loaded = False
         self.reachable = True  # only to log an outage once
-        self.synced_at = 0.0  # the copy held everything that had been changed before this moment
+        self.synced_at = float("-inf")  # the copy held everything that had been changed before this moment
         self._bells: list[curio.Event] = []
         self._batch: _Batch | None = None
         self._wanted = curio.Event()
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -63,7 +63,10 @@
         self.leader = Leader(
             self.replica, self.membership, self.view, self.cloud, self.pulse, deployment, tuning, self.boot, self._wake
         )
-        self.users = Users(self.replica, self.view, deployment.teams, deployment.zones, self._wake)
+        self.users = Users(
+            self.replica, self.view, deployment.teams, deployment.zones, self._wake, self._tell_cancelled
+        )  # fmt: skip
+        self._began = time.monotonic()
         self._peers = {p.node: network.back_client(p.address) for p in platform.peers}
         self._waking = curio.Event()
         self._loads: dict[str, tuple[hints.Load, float]] = {}
@@ -179,13 +182,30 @@
         if isinstance(hint, hints.Wake):
             await curio.spawn(self._follow, daemon=True)
         if isinstance(hint, hints.Ping):
-            reaches = self.replica.loaded and await self.replica.sync(0.8)
-            state = self.replica.state
-            cancelled = [ref for ref, job in state.jobs.items() if job.cancelled] if reaches else []
-            parts = [(zone, p.node, p.epoch) for zone, p in state.parts.items()] if reaches else []
-            return hints.encode(hints.Pong(self.platform.node, self.boot, reaches, cancelled, parts))
+            return hints.encode(await self._pong())
+        if isinstance(hint, hints.Cancelled):
+            self.reach.note_cancelled(hint.jobs, time.monotonic())
+            await self.replica.ring()
         return hints.encode(hints.Wake())
 
+    async def _pong(self) -> hints.Pong:
+        """What this controller knows, whether or not it reaches the state service: a peer may go on by it."""
+        reaches = self.replica.loaded and await self.replica.sync(0.8)
+        state, now = self.replica.state, time.monotonic()
+        cancelled = {ref for ref, job in state.jobs.items() if job.cancelled} | set(self.reach.cancelled)
+        parts = [(zone, p.node, p.epoch) for zone, p in state.parts.items()]
+        read = self.replica.synced_at
+        age_s = now - read if read > float("-inf") else -1.0
+        return hints.Pong(
+            self.platform.node, self.boot, reaches, sorted(cancelled), parts, age_s, now - self._began
+        )  # fmt: skip
+
+    async def _tell_cancelled(self, ref: str) -> None:
+        """Peers may be cut from the state service at this moment, and the service down in the next."""
+        frame = hints.encode(hints.Cancelled([ref]))
+        for client in self._peers.values():
+            await curio.spawn(client.call, frame, 0.5, daemon=True)
+
     async def _follow(self) -> None:
         await self.replica.sync()
 
@@ -240,7 +260,7 @@
             await curio.sleep(0.5)
             now = time.monotonic()
             if now - self.replica.synced_at <= 0.8 or await self.replica.sync(0.8):
-                self.reach.cancelled.clear()  # the copy has them
+                self.reach.settle(self.replica.synced_at)
                 continue
             if time.monotonic() - self.replica.synced_at > CUT_AFTER_S:
                 frame = hints.encode(hints.Ping(self.platform.node))
@@ -253,5 +273,5 @@
         answer = await client.call(frame, 2.0)
         hint = hints.decode(answer) if answer is not None else None
         if isinstance(hint, hints.Pong):
-            self.reach.pong(node, sent, hint)
+            self.reach.pong(node, sent, time.monotonic(), hint, self.replica.synced_at)
             await self.replica.ring()
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -4,7 +4,7 @@
 
 import logging
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -24,7 +24,7 @@
 from spurarch.coordination.pulse import Pulse
 from spurarch.coordination.reach import Reach
 from spurarch.coordination.refining import refine
-from spurarch.coordination.returning import cut_off, idle_machines, silent_machines
+from spurarch.coordination.returning import cut_off, idle_machines, overdue_machines, silent_machines
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import Deployment, Tuning
@@ -55,6 +55,7 @@
 BLIND_S = 6.0  # most of a part is silent, and no peer says what it hears: give the part away on suspicion
 MOVE_S = 15.0
 FRESH_S = 2.0
+QUIET_PAUSE_S = 2.0  # between tries to tell a silent machine that a task of it is cancelled
 
 
 def direct_connections(sockets: int) -> int:
@@ -78,6 +79,7 @@
         self.cleaned_at = 0.0
         self.peopled_at = part.taken_at  # when the part last had machines
         self.working = False
+        self.provisional = False  # it works by records that were read before its claim, to stop what is cancelled
         self.cut = False
         self.cut_since: float | None = None  # most machines are silent
 
@@ -120,8 +122,8 @@
         """Answers a report: 200 as holder, 421 to steer the worker, 503 if nobody can tell."""
         heard = self.reach.parts.get(report.zone)
         part = self.replica.state.parts.get(report.zone)
-        if heard is not None and (part is None or heard[1] > part.epoch) and heard[0] != self.membership.node:
-            return 421, wire.encode(wire.Steer(heard[0]))  # a peer that reaches the store told us
+        if self._superseded(report.zone) and heard is not None and self.reach.answers(heard[0], now):
+            return 421, wire.encode(wire.Steer(heard[0]))  # a peer told us
         if self.membership.holds(report.zone) is None:
             lost = report.zone in self.view.dark()
             if report.zone in self.deployment.zones:
@@ -147,6 +149,11 @@
             await held.bell.set()
         return 200, wire.encode(wire.ReportAnswer(held.part.token(machine), commands))
 
+    def _superseded(self, zone: str) -> bool:
+        """Another holds the zone by now, as a peer says whose copy is newer than ours."""
+        heard, part = self.reach.parts.get(zone), self.replica.state.parts.get(zone)
+        return heard is not None and heard[0] != self.membership.node and (part is None or heard[1] > part.epoch)
+
     def strangers(self, now: float) -> list[tuple[str, int]]:
         """By zone, workers that reported here of late though another holds their zone."""
         for zone, heard in self._strangers.items():
@@ -170,9 +177,19 @@
         if held is None or held.part.epoch != record.epoch:
             held = Held(Part(zone, record.epoch, self.deployment.workers.lease_s, now, self._image_of), self.tuning)
             held.placer.silent_s = SILENT_REPORTS * self.deployment.workers.report_s
+            held.part.cancelled_ago = self._cancelled_ago
             self.held[zone] = held
         return held
 
+    def _cancelled_ago(self, job: str) -> float | None:
+        """Seconds since a job was cancelled, as far as can be told, or None if it is not known to be."""
+        record = self.replica.state.jobs.get(job)
+        if record is not None and record.cancelled:
+            ago = time.time() - record.cancelled_at if record.cancelled_at > 0 else 0.0
+            return min(max(ago, 0.0), self.deployment.workers.cancel_s)
+        told = self.reach.cancelled.get(job)
+        return time.monotonic() - told if told is not None else None
+
     def _image_of(self, job: str) -> int | None:
         known = self.view.jobs.get(job)
         return known.need.image if known is not None else None
@@ -229,10 +246,12 @@
         while self.held.get(held.part.zone) is held and self._owns(held.part):
             await curio.sleep(TICK_S)
             try:
-                if held.part.ready and self._owns(held.part):
+                if (held.part.ready or held.provisional) and self._owns(held.part):
                     self._obey_cancels(held)
                     await self._send(held)
-                    await self._watch_silence(held, time.monotonic())
+                    await self._watch_overdue(held, time.monotonic())
+                    if held.part.ready:
+                        await self._watch_silence(held, time.monotonic())
             except curio.CancelledError:
                 raise
             except Exception:  # must not end the controller
@@ -241,7 +260,7 @@
     def _obey_cancels(self, held: Held) -> None:
         """Cancels that peers passed on while the state service is out of reach."""
         for ref in self.reach.cancelled:
-            held.part.stop_job(ref)
+            held.part.stop_job(ref, time.monotonic())
 
     def _spread_news(self) -> None:
         """Notes changed records for every part."""
@@ -262,9 +281,13 @@
         part, state = held.part, self.replica.state
         if not part.ready:
             if not await self.replica.sync():
+                if self.replica.loaded and not held.provisional:
+                    # What was read before the claim serves to stop cancelled tasks, and for nothing else.
+                    part.take_records(state, list(state.entries), time.monotonic())
+                    held.provisional = True
                 return
             self._spread_news()
-            part.take_records(state, list(state.entries), time.monotonic())
+            part.take_records(state, list(dict.fromkeys([*state.entries, *held.dirty])), time.monotonic())
             held.dirty.clear()
             part.ready = True
         else:
@@ -460,8 +483,9 @@
     async def _send(self, held: Held) -> None:
         """Starts and stops go straight to the worker; its next report repeats what got lost."""
         part, now = held.part, time.monotonic()
-        self._spread_news()
-        self._take_news(held, now)
+        if part.ready:
+            self._spread_news()
+            self._take_news(held, now)
         if not part.attention or not self.reach.entitled(self.replica.synced_at, now) or not self._steady(now):
             return
         silent = SILENT_REPORTS * self.deployment.workers.report_s
@@ -470,9 +494,10 @@
             if machine is None or not part.needs_command(machine):
                 del part.attention[name]
                 continue
-            if machine.direct_after > now or name in self._in_line or now - (machine.heard_at or now) > silent:
+            quiet = now - (machine.heard_at or now) > silent
+            if machine.direct_after > now or name in self._in_line or (quiet and name not in part.called_off):
                 continue  # one that is silent would only keep a connection from others
-            machine.direct_after = now + 0.5
+            machine.direct_after = now + (QUIET_PAUSE_S if quiet else 0.5)
             self._in_line.add(name)
             await curio.spawn(self._direct, held, machine, daemon=True)
 
@@ -524,6 +549,31 @@
         found = silent_machines(held.part, self.tuning, workers, self.reach.limit, now, held.cut, woke_at)
         await self._start_return(held, found, now)
 
+    async def _watch_overdue(self, held: Held, now: float) -> None:
+        """Returns machines whose cancelled tasks won't show that they left, whether or not the state service answers."""
+        part = held.part
+        if not part.called_off or not self._steady(now) or self._superseded(part.zone):
+            return
+        found = overdue_machines(part, self.deployment.workers, now, held.cut, self._pulse.woke_at)
+        machines = [m for m in found if m.return_after <= now][:RETURN_AT_ONCE]
+        if machines:
+            for machine in machines:
+                machine.returning = True
+            await curio.spawn(self._return_overdue, held, machines, daemon=True)
+
+    async def _return_overdue(self, held: Held, machines: list[Machine]) -> None:
+        part = held.part
+        log.info("returning %s: cancelled tasks may be on them", " ".join(m.name for m in machines))
+
+        def still() -> bool:
+            now = time.monotonic()
+            return self._owns(part) and self._steady(now) and any(part.overdue(m) is not None for m in machines)
+
+        try:
+            await self._release(held, machines, still)
+        finally:
+            self._keep_rest(machines)
+
     async def _return_idle(self, held: Held, now: float) -> None:
         """Starts the return of machines without work; in line with placing, which might give them some."""
         if now >= held.next_returns and self._fresh(now) and not held.cut:
@@ -577,7 +627,7 @@
 
     async def _return(self, held: Held, machines: list[Machine]) -> None:
         """Returns machines in one call: calls are few, and a wave of silent machines has many."""
-        part, gone = held.part, False
+        part, asked = held.part, machines
         try:
             # A controller cut from the state service may have been deposed: to it, all machines of its old part look
             # silent while they report to the new holder, and returning them would end healthy work.
@@ -596,19 +646,29 @@
                 state = "deaf" if machine.deaf else machine.standing.value
                 log.info("returning %s (%s, %d tasks)", machine.name, state, len(machine.runs))
             # The line in front of the cloud may be long, and this process may stand still in it.
-            await self.cloud.release([m.name for m in machines], lambda: self._owns(part) and self._fresh(time.monotonic()))
-            gone = True
-            for machine in machines:
-                part.returned(machine.name)
-            await held.bell.set()
+            await self._release(held, machines, lambda: self._owns(part) and self._fresh(time.monotonic()))
+        finally:
+            self._keep_rest(asked)
+
+    async def _release(self, held: Held, machines: list[Machine], still: Callable[[], bool]) -> None:
+        """Has the cloud take machines back; its answer proves that everything on them is gone."""
+        try:
+            await self.cloud.release([m.name for m in machines], still)
         except (CloudTrouble, NoCapacity) as err:
             log.info("return of %d machines: %s", len(machines), err)
-        finally:
-            for machine in machines:
-                if not gone:
-                    machine.return_after = time.monotonic() + RETURNS_S
-                if machine.standing is not Standing.GONE:
-                    machine.returning = False
+            return
+        for machine in machines:
+            held.part.returned(machine.name)
+        await held.bell.set()
+
+    @staticmethod
+    def _keep_rest(machines: list[Machine]) -> None:
+        """Whichever were not returned after all can be used, or returned, again: also those that were left out because
+        a task was recorded onto them meanwhile, which stayed closed for ever once."""
+        for machine in machines:
+            if machine.standing is not Standing.GONE:
+                machine.return_after = time.monotonic() + RETURNS_S
+                machine.returning = False
 
     async def _close(self, part: Part, machines: list[Machine]) -> bool:
         """Closes machines on record first: no task may be assigned to them while the cloud takes them down."""
--- a/spurarch/coordination/machine.py
+++ b/spurarch/coordination/machine.py
@@ -58,6 +58,7 @@
     sent_seq: int = -1  # the start was handed to the worker no later than its message with this number
     running_at: float | None = None
     over_at: float = 0.0  # when its end was proved
+    called_off_at: float | None = None  # its job was cancelled then, so far as is known
 
     @property
     def key(self) -> tuple[str, int]:
@@ -122,6 +123,7 @@
     forget: dict[tuple[str, int], int] = field(default_factory=dict)
     images: set[int] = field(default_factory=set)  # seen in use here: a task with this image has run
     idle_since: float | None = None
+    called_off_at: float | None = None  # it fell silent with a task that was cancelled then, and may hang with it still
     failures: int = 0
     avoid_until: float = 0.0
     pause_until: float = 0.0  # it refused a task; too short a while to go on record
--- a/spurarch/coordination/part.py
+++ b/spurarch/coordination/part.py
@@ -64,6 +64,8 @@
         self.trouble: dict[str, JobTrouble] = defaultdict(JobTrouble)
         self.dark = False  # nobody hears its workers
         self.ready = False  # the records of this part have been read since it was claimed
+        self.cancelled_ago: Callable[[str], float | None] = lambda job: None  # seconds since a job was cancelled, if it was
+        self.called_off: dict[str, None] = {}  # machines that may hold tasks of cancelled jobs
         self.over: dict[AllotKey, dict[int, TaskRun]] = defaultdict(dict)  # ended or gone, and not recorded as that
         self.attention: dict[str, None] = {}  # machines that may need a command
         self.stale: set[AllotKey] = set()  # allotments that may be left from a job that is over
@@ -114,7 +116,7 @@
         for where in self._by_job.get(ref, ()):
             self.stale.add(where)
             for run in self._by_allot.get(where, {}).values():
-                self.stop(run, 0.0)
+                self._call_off(run)
 
     def _take_machine(self, name: str, record: MachineRecord | None, now: float) -> None:
         machine = self.machines.get(name)
@@ -124,6 +126,8 @@
             return
         if machine is None:
             machine = self._new_machine(name, record.type, record.spot, record.addr)
+            if name in self._returned:
+                machine.advance(Standing.GONE)  # a transaction that put it on record was carried out late
         machine.open = record.open
 
     def _new_machine(self, name: str, kind: str, spot: bool, addr: str, willing: bool = True) -> Machine:
@@ -176,7 +180,7 @@
         elif machine.standing is Standing.GONE:
             self.step(run, Phase.GONE)
         if not wanted:
-            self.stop(run, 0.0)
+            self._call_off(run)
 
     def _forget_run(self, run: TaskRun) -> None:
         if self.runs.get(run.key) is run:
@@ -227,8 +231,10 @@
             return []  # something newer was seen: nothing to learn, though its sender may still wait
         self.observe(machine, report, now)
         self._ask(machine, now)
-        if not self.ready or not commanding or machine.standing is not Standing.KNOWN:
+        if not commanding or machine.standing is not Standing.KNOWN:
             return []
+        if not self.ready:
+            return self._called_off(report)
         self._prove_absent(machine, report)
         commands = self.commands(machine, report)
         for run in machine.runs.values():
@@ -282,6 +288,7 @@
                     self.step(run, Phase.GONE)
             machine.forget.clear()
             machine.fence = 0  # commands name their session
+            machine.called_off_at = None  # what was on it is gone
         machine.session, machine.seq = report.session, report.seq
         machine.heard_at = now
         machine.type, machine.spot, machine.addr = report.type, report.spot, report.addr
@@ -369,6 +376,15 @@
                 out.append(wire.Command(wire.START, name, run.attempt))
         return out
 
+    def _called_off(self, report: wire.Report) -> list[wire.Command]:
+        """Stops what is known to be cancelled. That needs no record, and may have to be done before the records can be
+        read: a part may change hands just before an outage that is longer than `cancel_s`."""
+        return [
+            wire.Command(wire.STOP, task.task, task.attempt, 0.0)
+            for task in report.tasks
+            if task.state != wire.EXITED and (key := wire.split_task(task.task)) and self.cancelled_ago(key[0]) is not None
+        ]
+
     def _clean(self, machine: Machine, report: wire.Report) -> list[wire.Command]:
         """Stops and forgets what no record puts on this machine."""
         out: list[wire.Command] = []
@@ -397,14 +413,23 @@
 
     def direct(self, machine: Machine) -> wire.DirectCommands | None:
         """Commands worth sending at once to the machine's own address."""
-        if machine.standing is not Standing.KNOWN or not machine.fenced or not machine.addr:
+        if machine.standing is not Standing.KNOWN or machine.in_flight or not machine.addr:
             return None
-        commands = self.commands(machine, None)
+        commands = self.commands(machine, None) if self.ready and machine.fenced else self._stops(machine)
         if not commands:
             return None
         machine.in_flight += 1
         return wire.DirectCommands(self.token(machine), machine.session, commands)
 
+    def _stops(self, machine: Machine) -> list[wire.Command]:
+        """What may be sent while an earlier command may still act: a machine whose reports don't arrive would never
+        show that it can't, and its cancelled tasks have to leave."""
+        return [
+            wire.Command(wire.STOP, wire.task_name(*run.key), run.attempt, 0.0)
+            for run in machine.runs.values()
+            if run.stop and run.grace_s == 0 and run.phase < Phase.EXITED
+        ]
+
     def direct_answered(self, machine: Machine, sent: wire.DirectCommands, report: wire.Report | None, now: float) -> None:
         """An answer to direct commands came: executed or refused, they are not on their way any more."""
         machine.in_flight -= 1
@@ -437,6 +462,9 @@
                 machine.lost_session = machine.session
                 machine.advance(Standing.LOST)
                 for run in machine.runs.values():
+                    if run.called_off_at is not None:
+                        # One that hangs does not even end what its lease no longer covers.
+                        machine.called_off_at = min(run.called_off_at, machine.called_off_at or run.called_off_at)
                     self.step(run, Phase.GONE)
             if machine.runs:
                 machine.idle_since = None
@@ -451,12 +479,28 @@
             # An earlier process may have sent a start, so absence has to be shown by a report all the same.
             self.step(run, Phase.STARTING)
 
-    def stop_job(self, ref: str) -> None:
-        """Has all tasks of a job leave."""
+    def stop_job(self, ref: str, now: float) -> None:
+        """Has all tasks of a cancelled job leave."""
+        self.now = now
         for where in self._by_job.get(ref, ()):
             for run in self._by_allot[where].values():
-                if not run.stop or run.grace_s:
-                    self.stop(run, 0.0)
+                if run.called_off_at is None:
+                    self._call_off(run)
+
+    def _call_off(self, run: TaskRun) -> None:
+        """The task's job is cancelled, or over in another way."""
+        ago = self.cancelled_ago(run.where.job)
+        if run.called_off_at is None and ago is not None:
+            run.called_off_at = self.now - ago
+            self.called_off[run.machine] = None
+        self.stop(run, 0.0)
+
+    def overdue(self, machine: Machine) -> float | None:
+        """Since when a cancelled task may be on a machine that has not shown that it left."""
+        times = [r.called_off_at for r in machine.runs.values() if r.called_off_at is not None and r.phase < Phase.EXITED]
+        if machine.called_off_at is not None:
+            times.append(machine.called_off_at)
+        return min(times, default=None)
 
     def returned(self, name: str) -> None:
         """The cloud confirmed that the machine is gone, with all that was on it."""
--- a/spurarch/coordination/returning.py
+++ b/spurarch/coordination/returning.py
@@ -12,6 +12,8 @@
 SUSPECT_REPORTS, SUSPECT_SHARE = 1.6, 1 / 3
 FIND_S = 5.5
 LOST_LEASES = 3.0
+OVERDUE, OVERDUE_UNHEARD = 0.4, 0.8  # of the time that a cancellation has
+OVERDUE_REPORTS = 4.0
 
 
 def cut_off(part: Part, workers: Workers, now: float, woke_at: float = 0.0) -> bool:
@@ -78,6 +80,27 @@
     return now - max(machine.heard_at or machine.first_seen, woke_at) > patience
 
 
+def overdue_machines(part: Part, workers: Workers, now: float, cut: bool, woke_at: float = 0.0) -> list[Machine]:
+    """Machines that may still hold a cancelled task, though its stop was asked for long ago.
+
+    A machine that hangs neither ends its tasks nor lets its lease end them, and only its return proves them gone: a wrong
+    return costs work, waiting breaks a rule. So these are returned in an outage too, when this holder may have been
+    deposed. Machines that it has not heard itself, or most of which fell silent at once, may well report to somebody
+    else, who stops the task; they get longer, until a holder that is cut off has had to let go of them.
+    """
+    out = []
+    for name in list(part.called_off):
+        machine = part.machines.get(name)
+        since = part.overdue(machine) if machine is not None and machine.standing is not Standing.GONE else None
+        if machine is None or since is None:
+            del part.called_off[name]
+            continue
+        share = OVERDUE_UNHEARD if cut or machine.standing is Standing.UNKNOWN else OVERDUE
+        if now - since > share * workers.cancel_s and now - woke_at > OVERDUE_REPORTS * workers.report_s:
+            out.append(machine)
+    return [m for m in out if not m.returning]
+
+
 def idle_machines(part: Part, view: FleetView, tuning: Tuning, now: float) -> list[Machine]:
     """Machines without a task: emptied ones at once, others after a while and beyond the share of room set aside."""
     closed = set(map(view.zones.index, view.dark()))
--- a/spurarch/coordination/users.py
+++ b/spurarch/coordination/users.py
@@ -41,9 +41,10 @@
     """Submissions, polls and cancels."""
 
     def __init__(
-        self, replica: Replica, view: FleetView, teams: list[Team], zones: list[str], wake: Callable[[], Awaitable[None]]
-    ) -> None:
-        self.replica, self.view, self._wake = replica, view, wake
+        self, replica: Replica, view: FleetView, teams: list[Team], zones: list[str],
+        wake: Callable[[], Awaitable[None]], tell_cancelled: Callable[[str], Awaitable[None]],
+    ) -> None:  # fmt: skip
+        self.replica, self.view, self._wake, self._tell_cancelled = replica, view, wake, tell_cancelled
         self._teams = {team.name: team for team in teams}
         self._zones = set(zones)
         self._pending = 0
@@ -134,10 +135,11 @@
                 if record is None or record.cancelled:
                     return known
                 outcome = await self.replica.commit(
-                    [Write(records.JOB + ref, JobRecord(record.spec, record.at, True))],
+                    [Write(records.JOB + ref, JobRecord(record.spec, record.at, True, time.time()))],
                     give_up_s=GIVE_UP_S, urgency=Urgency.USERS,
                 )  # fmt: skip
                 if outcome.verdict is Verdict.DONE:
+                    await self._tell_cancelled(ref)
                     return _state(200, ref, wire.CANCELLED)
                 if outcome.verdict is not Verdict.CONFLICT:
                     break
--- a/spurarch/protocol/hints.py
+++ b/spurarch/protocol/hints.py
@@ -17,13 +17,26 @@
 
 
 class Pong(Struct, tag="pong", array_like=True):
-    """Answer to a ping. With `reaches`, the lists are as new as the ping."""
+    """Answer to a ping, with all that the sender knows to be cancelled and who holds which part.
+
+    With `reaches`, the lists are as new as the ping. Without, they are complete up to `age_s` ago, and hold whatever the
+    sender's own process confirmed since; an `age_s` below zero says that it has never read the state service (an older
+    version leaves it out, and its lists with it). `up_s` is how long the process has run.
+    """
 
     node: str
     boot: str
     reaches: bool
     cancelled: list[str]
     parts: list[tuple[str, str, int]]
+    age_s: float = -1.0
+    up_s: float = 0.0
+
+
+class Cancelled(Struct, tag="cancelled", array_like=True):
+    """Jobs whose cancellation the sender is about to confirm to their users."""
+
+    jobs: list[str]
 
 
 class Load(Struct, tag="load", array_like=True):
@@ -38,7 +51,7 @@
     strangers: list[tuple[str, int]] = []
 
 
-Hint = Wake | Ping | Pong | Load
+Hint = Wake | Ping | Pong | Cancelled | Load
 
 encode = msgspec.msgpack.encode
 _decoder = msgspec.msgpack.Decoder(Hint)
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -219,9 +219,35 @@
             await curio.spawn(self._raw, args, daemon=True)
         elif action == "never-up":
             self.cloud.never_up = int(args[0])
+        elif action == "sure":  # the meeting that the scenario is about takes place
+            if not self._meets(args):
+                self.problems.append(f"the meeting did not take place: {' '.join(args)} at {now - 1000:.2f}")
         else:
             raise ValueError(f"unknown action: {words}")
 
+    def _meets(self, words: list[str]) -> bool:
+        """Whether something is so at this moment; with `not` in front, whether it is not."""
+        if words[0] == "not":
+            return not self._meets(words[1:])
+        kind, *args = words
+        if kind == "confirmed":  # its user has been told that it is cancelled
+            return args[0] in self.world.cancelled_at
+        if kind == "runs":  # a task of it is on a machine
+            return any(task.name.startswith(args[0] + "/") for _, task in self.world.on_machines())
+        if kind == "up":
+            return args[0] in self.running
+        if kind == "leads":
+            return args[0] in self.running and self.controllers[args[0]].membership.leading
+        if kind == "holds":  # on record, as the state service has it
+            value = self.store.keys.get(f"live/part/{args[1]}")
+            return value is not None and value[0]["node"] == args[0]
+        if kind == "copied":  # the copy of a controller shows that a job is cancelled
+            record = self.controllers[args[0]].replica.state.jobs.get(args[1])
+            return record is not None and record.cancelled
+        if kind == "loaded":
+            return args[0] in self.running and self.controllers[args[0]].replica.loaded
+        raise ValueError(f"unknown state of things: {words}")
+
     async def _restart(self, node: str, after: float) -> None:
         await curio.sleep(after)
         await self.start(node)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -129,17 +130,60 @@
     assert assign_parts(["a"], {"a": PartRecord("n0", 4)}, both, {"n0", "n1"}) == {}
 
 
-def test_word_lasts_until_a_cancel_could_be_missed() -> None:
-    reach = Reach(["p", "q"], cancel_s=30.0, lease_s=10.0)
+def _reach() -> Reach:
+    return Reach(["p", "q"], cancel_s=30.0, lease_s=10.0)
+
+
+def _pong(node: str, reaches: bool = False, age_s: float = 60.0, up_s: float = 500.0) -> hints.Pong:
+    return hints.Pong(node, "x", reaches, [f"job-{node}"], [("a", node, 9)], age_s, up_s)
+
+
+def test_word_lasts_until_a_cancellation_could_be_missed() -> None:
+    reach = _reach()
     assert reach.entitled(100.0, 110.0)
     assert not reach.entitled(100.0, 120.0)
-    reach.pong("p", 119.0, hints.Pong("p", "x", False, [], []))
-    assert not reach.entitled(100.0, 120.0)  # q may reach the service and acknowledge a cancel
-    reach.pong("q", 118.0, hints.Pong("q", "x", False, [], []))
-    assert reach.entitled(100.0, 120.0)
-    reach.pong("q", 125.0, hints.Pong("q", "x", True, ["job-1"], [("a", "q", 9)]))
-    assert reach.cancelled == {"job-1"}
-    assert reach.parts == {"a": ("q", 9)}
+    reach.pong("p", 119.0, 119.1, _pong("p"), 100.0)
+    assert not reach.entitled(100.0, 120.0)  # q may have confirmed a cancellation
+    reach.pong("q", 118.0, 118.1, _pong("q"), 100.0)
+    assert reach.word(100.0) == 118.0
+    assert reach.cancelled == {"job-p": 119.1, "job-q": 118.1}  # passed on by who does not reach the service, too
+    assert reach.parts == {"a": ("p", 9)}
+    reach.settle(118.5)  # a read of our own holds what was told before it, and no more
+    assert reach.cancelled == {"job-p": 119.1}
+
+
+def test_a_peer_that_reaches_the_service_is_word_enough() -> None:
+    reach = _reach()
+    reach.pong("q", 119.0, 119.1, _pong("q", reaches=True, age_s=0.1), 100.0)
+    assert reach.word(100.0) == 119.0
+
+
+def test_a_copy_is_a_word_of_its_age() -> None:
+    reach = _reach()
+    reach.pong("q", 119.0, 119.1, _pong("q", age_s=5.0), 100.0)
+    assert 113.9 < reach.word(100.0) <= 114.0
+    assert reach.word(116.0) == 116.0
+
+
+def test_who_started_after_the_word_and_never_read_the_service_is_no_voucher() -> None:
+    for up_s, word in ((18.0, 100.0), (19.0, 100.0), (20.0, 119.0)):  # its start lies after, at, or before the word
+        reach = _reach()
+        reach.pong("p", 119.0, 119.05, _pong("p"), 100.0)
+        reach.pong("q", 119.0, 119.05, _pong("q", age_s=-1.0, up_s=up_s), 100.0)
+        assert reach.word(100.0) == word
+
+
+def test_silence_of_an_older_version_is_no_word() -> None:
+    reach = _reach()
+    for peer in ("p", "q"):
+        old = hints.decode(msgspec.msgpack.encode(["pong", peer, "x", False, [], []]))
+        assert isinstance(old, hints.Pong)
+        reach.pong(peer, 119.0, 119.1, old, 100.0)
+    assert reach.word(100.0) == 100.0
+    new = hints.decode(msgspec.msgpack.encode(["pong", "p", "x", True, ["job-1"], [], 0.0, 1.0, "more to come"]))
+    assert isinstance(new, hints.Pong)
+    reach.pong("p", 130.0, 130.1, new, 100.0)
+    assert reach.word(100.0) == 130.0
 
 
 @given(st.floats(0.5, 200), st.integers(1, 24), st.sampled_from(list(Urgency)))
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -43,7 +43,7 @@
 def test_a_holder_that_may_have_been_deposed_gives_no_commands() -> None:
     fleet = Fleet(1)
     machine = fleet.part.machines["vm-0"]
-    fleet.part.stop_job("job-0")
+    fleet.part.stop_job("job-0", 0.0)
     report = fleet.wire_report(0, 3, fleet.part.token(machine))
     assert fleet.part.on_report(report, 2.0, commanding=False) == []
     report = fleet.wire_report(0, 4, fleet.part.token(machine))
