--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -177,7 +177,7 @@
         hint = hints.decode(frame)
         if isinstance(hint, hints.Load):
             self._loads[hint.node] = hint, time.monotonic()
-            self.holder.hear(hint.node, dict(hint.strangers))
+            self.holder.hear(hint.node, dict(hint.strangers), hint.returned)
             return hints.encode(hints.Wake())
         if isinstance(hint, hints.Wake):
             await curio.spawn(self._follow, daemon=True)
@@ -238,7 +238,7 @@
             now = time.monotonic()
             recent = {n: load for n, (load, at) in self._loads.items() if now - at < 3 * SHARE_S}
             total = self.platform.deployment.state.write_rps
-            mine = hints.Load(node, *self.store.recent_writes(), self.holder.strangers(now))
+            mine = hints.Load(node, *self.store.recent_writes(), self.holder.strangers(now), self.holder.unrecorded())
             self.holder.heard_elsewhere = {n: dict(load.strangers) for n, load in recent.items()}
             recent[node] = mine
             writes = lend(
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -107,6 +107,7 @@
         self.held: dict[str, Held] = {}
         self.heard_elsewhere: dict[str, dict[str, int]] = {}  # by peer and zone, workers that look for their holder
         self._strangers: dict[str, dict[str, float]] = {}
+        self._unrecorded: dict[str, str] = {}  # machines that were returned and are still on record, and their zones
         self.found_stranger = curio.Event()  # a worker that its holder gave up for unheard
         self._bell = replica.listen()
         self._dirty = replica.state.subscribe()
@@ -574,6 +575,13 @@
         finally:
             self._keep_rest(machines)
 
+    def unrecorded(self) -> list[str]:
+        """Machines that this process returned before its part went to another: the records still have them, so the next
+        holder would take them for room, and wait for them."""
+        on_record = self.replica.state.machines
+        self._unrecorded = {name: zone for name, zone in self._unrecorded.items() if name in on_record[zone]}
+        return list(self._unrecorded)[:RETURN_AT_ONCE]
+
     async def _return_idle(self, held: Held, now: float) -> None:
         """Starts the return of machines without work; in line with placing, which might give them some."""
         if now >= held.next_returns and self._fresh(now) and not held.cut:
@@ -587,9 +595,13 @@
                 machine.returning = True
             await curio.spawn(self._return, held, machines, daemon=True)
 
-    def hear(self, node: str, strangers: dict[str, int]) -> None:
-        """A peer says which workers look for their holder there."""
+    def hear(self, node: str, strangers: dict[str, int], returned: list[str]) -> None:
+        """A peer says which workers look for their holder there, and which machines it returned without a record."""
         self.heard_elsewhere[node] = strangers
+        for held in self.held.values():
+            for name in returned:
+                if name in held.part.machines:
+                    held.part.returned(name)
         for zone in strangers:
             if zone in self.held:
                 self.held[zone].next_look = 0.0  # what is left of those workers' leases is short
@@ -659,6 +671,7 @@
             return
         for machine in machines:
             held.part.returned(machine.name)
+            self._unrecorded[machine.name] = machine.zone
         await held.bell.set()
 
     @staticmethod
--- a/spurarch/protocol/hints.py
+++ b/spurarch/protocol/hints.py
@@ -42,13 +42,15 @@
 class Load(Struct, tag="load", array_like=True):
     """Changes a second that the sender made of late, and whether more wait in line: rates are lent by this.
 
-    `strangers` are the workers that reported to the sender in the last seconds though another holds their zone.
+    `strangers` are the workers that reported to the sender in the last seconds though another holds their zone, `returned`
+    machines that it gave back to the cloud and that are still on record.
     """
 
     node: str
     writes: float
     hungry: bool
     strangers: list[tuple[str, int]] = []
+    returned: list[str] = []
 
 
 Hint = Wake | Ping | Pong | Cancelled | Load
--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,96 @@
+"""Two or three troubles at random moments, over real controllers: no rule may break, and afterwards all work goes on.
+
+The same days are played each time. `SPURARCH_MEETINGS=500 python -m pytest tests/test_meetings.py` plays as many new
+ones (docs/operations.md); what it finds becomes a scenario.
+"""
+
+from __future__ import annotations
+
+import os
+from itertools import chain
+from typing import Any
+
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from tests.sim.scenario import Play, Scenario
+
+MORE = int(os.environ.get("SPURARCH_MEETINGS", "0"))
+QUIET_S = 125.0  # after the last trouble
+BASE = """team t max=60
+team u max=4
+type small cpus=4 boot=5 capacity=6
+tuning consolidation_cap=0
+machines small a 2
+machines small b 2
+machines small c 2
+at 2 submit job-1 kind=daemon priority=production tasks=5 cpus=1 spread
+at 3 submit job-2 tasks=3 run=4,25,60
+at 4 submit job-3 team=u tasks=8 run=6
+at 5 submit job-4 tasks=4 run=150
+at 6 submit job-5 zone=b tasks=4 run=12,30
+"""
+
+nodes, zones = st.sampled_from(["n0", "n1", "n2"]), st.sampled_from(["a", "b", "c"])
+machines = st.integers(1, 6).map("vm-{:06d}".format)
+spans = st.sampled_from([0.3, 1.0, 3.0, 8.0, 14.0, 25.0, 40.0])
+modes = st.sampled_from(["drop", "hold"])
+troubles = st.one_of(
+    st.builds("kill {} for={}".format, nodes, st.sampled_from([0.2, 0.8, 3.0, 10.0])),
+    st.builds("kill-all for={}".format, st.sampled_from([0.2, 3.0, 12.0])),
+    st.builds("cut {} store for={} mode={}".format, nodes, spans, modes),
+    st.builds("alone {} for={}".format, nodes, spans),
+    st.builds("refuse {} for={}".format, nodes, spans),
+    st.builds("outage for={}".format, spans),
+    st.builds("outage for={}".format, st.sampled_from([14.0, 40.0])),
+    st.builds("cut n0 n1 for={} mode={}".format, spans, modes),
+    st.builds("cut-zone {} for={} mode={}".format, zones, spans, modes),
+    st.builds("deafen {} for={}".format, machines, spans),
+    st.builds("mute {} for={}".format, machines, spans),
+    st.builds("hang {} for={}".format, machines, spans),
+    st.builds("die {}".format, machines),
+    st.builds("reboot {}".format, machines),
+    st.builds("slow-store for={} by={}".format, spans, st.sampled_from([0.3, 0.9, 1.6])),
+    st.builds("late-writes for={} share={}".format, spans, st.sampled_from([0.2, 0.6])),
+    st.builds("late-reports for={} share=0.4".format, spans),
+    st.builds("cancel-at-end for={}".format, spans),
+)
+moments = st.integers(80, 400).map(lambda tenths: tenths / 10)
+timed = st.builds("at {} {}".format, moments, troubles)
+cancels = st.builds("at {} cancel job-{}".format, moments, st.sampled_from([3, 4, 4, 4, 5]))
+submits = st.builds("at {0} submit job-{1} tasks={2} run=5".format, moments, st.integers(6, 9), st.integers(1, 6))
+days = st.builds(
+    lambda lines: "\n".join(dict.fromkeys(sorted(lines, key=lambda line: float(line.split()[1])))),
+    st.builds(lambda *parts: list(chain.from_iterable(parts)), st.lists(timed, min_size=2, max_size=4), st.lists(cancels, min_size=1, max_size=3),
+              st.lists(submits, max_size=2, unique_by=lambda line: line.split()[3])),
+)  # fmt: skip
+
+
+def play(text: str) -> list[str]:
+    """What broke on a day."""
+    scenario = Scenario.parse(BASE + text, {})
+    ends = [at + float(dict(w.split("=") for w in words if "=" in w).get("for", 0)) for at, words in scenario.actions]
+    scenario.end = max(ends) + QUIET_S
+    called_off = {words[1] for _, words in scenario.actions if words[0] == "cancel"}
+    may_be = {"done", "aborted"} if "cancel-at-end" in text else {"done"}
+    played = Play(scenario)
+    played.run()
+    problems = list(played.problems)
+    for _, words in scenario.actions:
+        told: list[Any] = played.told.get(words[1], ["nothing"]) if words[0] == "submit" else []
+        if words[0] == "submit" and words[1] not in {*called_off, "job-1", "job-4"} and told[-1] not in may_be:
+            problems.append(f"{words[1]} is left: {told[-1]}")
+    replicas = [task for _, task in played.world.on_machines() if task.name.startswith("job-1/")]
+    if len(replicas) != 5:
+        problems.append(f"{len(replicas)} replicas of 5 run")
+    return problems
+
+
+@settings(
+    max_examples=MORE or 25, derandomize=not MORE, deadline=None, database=None,
+    phases=[Phase.generate, Phase.shrink] if MORE else [Phase.generate],
+    suppress_health_check=list(HealthCheck), print_blob=False,
+)  # fmt: skip
+@given(days)
+def test_meetings(text: str) -> None:
+    assert play(text) == [], text
