--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -37,6 +37,11 @@
         self.back: dict[str, Callable[[bytes], Awaitable[bytes]]] = {}
         self.cuts: list[Cut] = []
         self.doors: dict[str, Callable[[str], Handler]] = {}
+        self.slow_until, self.slow_s = 0.0, 0.0
+
+    def latency_s(self) -> float:
+        """The way from one host to another, about."""
+        return self.slow_s if self.clock.now < self.slow_until else LATENCY_S
 
     def cut(self, a: str, b: str) -> Cut | None:
         """The cut in the way of a request of `a` to `b`, if there is one now."""
@@ -62,7 +67,7 @@
                 await curio.spawn(self._late, cut, source, address, request, daemon=True)
             await curio.sleep(max(0.0, end - self.clock.now))
             raise NoAnswer("cut", cut.mode != "drop")
-        await curio.sleep(LATENCY_S * (0.5 + self.random.random()))
+        await curio.sleep(self.latency_s() * (0.5 + self.random.random()))
         handler = self.handler(source, address)
         if handler is None:
             raise NoAnswer("refused", False)
@@ -92,12 +97,14 @@
 class SimClient:
     """A client of one address on one host."""
 
-    def __init__(self, wire: Wire, source: str, address: str) -> None:
-        self._wire, self._source, self._address = wire, source, address
+    def __init__(self, network: SimNetwork, wire: Wire, source: str, address: str) -> None:
+        self._network, self._wire, self._source, self._address = network, wire, source, address
 
     async def request(self, method: str, target: str, body: bytes | None, timeout_s: float) -> tuple[int, bytes]:
         """Like HttpClient.request."""
+        await self._network.living()
         response = await self._wire.request(self._source, self._address, Request(method, target, body or b""), timeout_s)
+        await self._network.living()
         return response.status, response.body
 
 
@@ -121,16 +128,17 @@
 class SimBack:
     """A client of a peer's back channel."""
 
-    def __init__(self, wire: Wire, source: str, address: str) -> None:
-        self._wire, self._source, self._address = wire, source, address
+    def __init__(self, network: SimNetwork, wire: Wire, source: str, address: str) -> None:
+        self._network, self._wire, self._source, self._address = network, wire, source, address
 
     async def call(self, frame: bytes, timeout_s: float) -> bytes | None:
         """Like FrameClient.call."""
+        await self._network.living()
         wire = self._wire
         handler = wire.back.get(self._address)
         if handler is None or wire.cut(self._source, wire.hosts[self._address]) is not None:
             return None
-        await curio.sleep(LATENCY_S)
+        await curio.sleep(wire.latency_s())
         try:
             return await curio.timeout_after(timeout_s, handler, frame)  # type: ignore[no-any-return]
         except curio.TaskTimeout:
@@ -142,15 +150,21 @@
 
     def __init__(self, wire: Wire, host: str) -> None:
         self._wire, self._host = wire, host
+        self.ended = False
+
+    async def living(self) -> None:
+        """Holds whatever a process still has under way when it ends: tasks of its own that curio goes on running."""
+        while self.ended:
+            await curio.sleep(1e6)
 
     def client(self, address: str, max_connections: int) -> SimClient:
-        return SimClient(self._wire, self._host, address)
+        return SimClient(self, self._wire, self._host, address)
 
     def server(self, address: str, handler: Handler, max_connections: int) -> SimServer:
         return SimServer(self._wire.handlers, address, handler)  # type: ignore[arg-type]
 
     def back_client(self, address: str) -> SimBack:
-        return SimBack(self._wire, self._host, address)
+        return SimBack(self, self._wire, self._host, address)
 
     def back_server(self, address: str, handler: Callable[[bytes], Awaitable[bytes]], max_open: int) -> SimServer:
         return SimServer(self._wire.back, address, handler)  # type: ignore[arg-type]
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -103,11 +103,13 @@
         self.count = 3
         self.running: dict[str, Any] = {}
         self.controllers: dict[str, Controller] = {}
+        self.networks: dict[str, SimNetwork] = {}
         self.told: dict[str, list[str]] = {}
         self.problems: list[str] = []
         self.answers: list[int] = []
         self.answered: dict[str, float] = {}
         self.trouble_until = 0.0
+        self.leaders_ended = 0
         machines: list[list[str]] = []
         kinds: list[Kind] = []
         for words in scenario.setup:
@@ -165,7 +167,7 @@
 
     async def start(self, node: str) -> None:
         """Starts a controller."""
-        network = SimNetwork(self.wire, node)
+        network = self.networks[node] = SimNetwork(self.wire, node)
         controller = Controller(self.platform(int(node[1:])), self.tuning, network)
         self.controllers[node] = controller
         self.running[node] = await curio.spawn(controller.run, daemon=True)
@@ -173,6 +175,8 @@
     async def kill(self, node: str) -> None:
         """Ends a controller without a word. What it had sent is out already."""
         task = self.running.pop(node, None)
+        if task is not None:
+            self.networks[node].ended = True
         self.wire.handlers.pop(dict(self.nodes)[node], None)
         if task is not None:
             await task.cancel(blocking=False)
@@ -222,6 +226,15 @@
             self.store.refused[args[0]] = now + float(opts["for"])
         elif action == "slow-store":
             self.store.slow_until, self.store.slow_s = now + float(opts["for"]), float(opts["by"])
+        elif action == "slow-links":
+            self.wire.slow_until, self.wire.slow_s = now + float(opts["for"]), float(opts["by"])
+        elif action == "kill-leader":
+            leader = next((n for n in self.running if self.controllers[n].membership.leading), None)
+            if leader is None:
+                self.problems.append(f"nobody leads at {now - 1000:.2f}")
+            else:
+                self.leaders_ended += 1
+                await self._act(["kill", leader, *args])
         elif action == "late-writes":  # that share gets no answer and is carried out after newer ones
             self.store.late_until, self.store.late_share = now + float(opts["for"]), float(opts["share"])
         elif action == "late-reports":  # of that share a copy arrives again, up to well over a lease later
@@ -431,6 +444,8 @@
             return self.store.late_applied >= int(args[0]) and self.store.late_refused >= int(args[1])
         if kind == "late-reports":
             return self.world.late_reports >= int(args[0])
+        if kind == "leaders":  # so many leaders came to an end
+            return self.leaders_ended == int(args[0])
         if kind == "throttled":
             return self.store.throttled <= int(args[0])
         if kind == "machines":
