--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -76,6 +76,7 @@
         self.next_tick = 0.0
         self.next_returns = 0.0
         self.next_look = 0.0
+        self.next_overdue = 0.0
         self.cleaned_at = 0.0
         self.peopled_at = part.taken_at  # when the part last had machines
         self.working = False
@@ -553,8 +554,9 @@
     async def _watch_overdue(self, held: Held, now: float) -> None:
         """Returns machines whose cancelled tasks won't show that they left, whether or not the state service answers."""
         part = held.part
-        if not part.called_off or not self._steady(now) or self._superseded(part.zone):
+        if not part.called_off or now < held.next_overdue or not self._steady(now) or self._superseded(part.zone):
             return
+        held.next_overdue = now + RETURNS_S
         found = overdue_machines(part, self.deployment.workers, now, held.cut, self._pulse.woke_at)
         machines = [m for m in found if m.return_after <= now][:RETURN_AT_ONCE]
         if machines:
