--- /dev/null
+++ b/tests/test_returns.py
@@ -0,0 +1,105 @@
+"""What becomes of machines that were to be returned, and of those that may hold cancelled tasks."""
+
+from __future__ import annotations
+
+import time
+from types import SimpleNamespace
+from typing import Any
+
+import curio
+import pytest
+
+from spurarch.bookkeeping import records
+from spurarch.bookkeeping.records import MachineRecord
+from spurarch.coordination.holder import Holder
+from spurarch.coordination.machine import Standing
+from spurarch.coordination.returning import overdue_machines
+from spurarch.protocol import wire
+from spurarch.settings import Workers
+from tests.test_scale import Fleet
+
+WORKERS = Workers(1.0, 10.0, 30.0)
+
+
+def test_a_machine_left_out_of_a_return_is_of_use_again() -> None:
+    """A task is recorded onto one of two idle machines while both are closed. It stayed marked as being returned for
+    ever on the former code, so nobody used it, and nobody returned it."""
+    fleet = Fleet(3)
+    machines = [fleet.part.machines["vm-0"], fleet.part.machines["vm-1"]]
+    runs = [dict(machine.runs) for machine in machines]
+    released: list[str] = []
+    for machine in machines:
+        machine.runs.clear()
+        machine.returning = True
+
+    async def sync() -> bool:
+        return True
+
+    async def close(part: object, idle: object) -> bool:
+        machines[1].runs.update(runs[1])
+        return True
+
+    async def release(names: list[str], still: object) -> None:
+        released.extend(names)
+
+    async def ring() -> None:
+        pass
+
+    holder: Any = SimpleNamespace(
+        replica=SimpleNamespace(sync=sync), cloud=SimpleNamespace(release=release), _owns=lambda part: True, _close=close,
+        _returned={}, _keep_rest=Holder._keep_rest,
+    )  # fmt: skip
+    holder._release = lambda *args: Holder._release(holder, *args)
+    held: Any = SimpleNamespace(part=fleet.part, bell=SimpleNamespace(set=ring))
+    curio.run(Holder._return, holder, held, machines)
+    assert released == ["vm-0"]
+    assert [machine.standing for machine in machines] == [Standing.GONE, Standing.KNOWN]
+    assert not machines[1].returning
+    assert machines[1].return_after > time.monotonic()
+
+
+def _called_off(fleet: Fleet, now: float) -> None:
+    fleet.part.cancelled_ago = lambda job: now - 20.0 if job in ("job-0", "job-1") else None
+    for job in ("job-0", "job-1", "job-2"):  # the last is stopped for another reason
+        fleet.part.stop_job(job, now)
+
+
+@pytest.mark.parametrize(("cut", "first"), [(False, 32.0), (True, 44.0)])
+def test_machines_whose_cancelled_tasks_do_not_leave_are_overdue(cut: bool, first: float) -> None:
+    """Long before the 30 s are over, counted from the cancellation and not from when we heard of it."""
+    fleet = Fleet(4)
+    _called_off(fleet, 25.0)  # cancelled at 20
+    assert not overdue_machines(fleet.part, WORKERS, first - 0.1, cut)
+    assert [m.name for m in overdue_machines(fleet.part, WORKERS, first + 0.1, cut)] == ["vm-0", "vm-1"]
+    assert not overdue_machines(fleet.part, WORKERS, first + 0.1, cut, woke_at=first - 3.0)  # its own silence
+
+
+def test_a_machine_that_fell_silent_with_a_cancelled_task_stays_overdue() -> None:
+    """Its lease has run out, which frees its tasks; but a machine that hangs has not ended them."""
+    fleet = Fleet(3)
+    _called_off(fleet, 25.0)
+    fleet.report(2, 9, fleet.part.token(fleet.part.machines["vm-2"]))
+    fleet.part.tick(26.0)
+    assert fleet.part.machines["vm-0"].standing is Standing.LOST
+    assert [m.name for m in overdue_machines(fleet.part, WORKERS, 40.0, False)] == ["vm-0", "vm-1"]
+    token = fleet.part.token(fleet.part.machines["vm-0"])
+    report = wire.Report("vm-0", "10.1.0.1:9000", "big", "a", 2, 30, token, [])
+    assert fleet.part.on_report(report, 41.0) is not None  # it goes on in its next session
+    assert [m.name for m in overdue_machines(fleet.part, WORKERS, 42.0, False)] == ["vm-1"]
+
+
+def test_a_machine_put_on_record_after_its_return_is_gone_at_once() -> None:
+    fleet = Fleet(2)
+    key = records.machine_key("a", "vm-9")
+    fleet.part.returned("vm-9")
+    fleet.put(key, MachineRecord("big", False, "10.1.0.9:9000"))
+    fleet.news([key])
+    assert fleet.part.machines["vm-9"].standing is Standing.GONE
+
+
+def test_before_the_records_are_read_only_cancelled_tasks_are_stopped() -> None:
+    fleet = Fleet(3)
+    fleet.part.ready = False
+    fleet.part.cancelled_ago = lambda job: 1.0 if job == "job-0" else None
+    answers = [fleet.report(i, 5, fleet.part.token(fleet.part.machines[f"vm-{i}"])) for i in (0, 1)]
+    assert answers == [[wire.Command(wire.STOP, f"job-0/{n}", 1, 0.0) for n in range(4)], []]
