Parts that nobody holds in an outage; whether lower work runs is asked once a round

A scenario of three troubles (a holder ends, the part is given to another, the state service is out before that one claims, a machine hangs with a cancelled task) left the task on its machine: nobody held the part.

--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -125,10 +125,12 @@
         """Room that admitted tasks will take is not given away twice; those without any still need machines."""
         for where, job, count, tried in self.view.waiting():
             zone = self.view.zones.index(where.zone)
-            if not self._hopeless(job.need, zone):
+            hopeless = self._hopeless(job.need, zone)
+            if not hopeless:
                 count -= sum(n for _, n in fill(job.need, self._roomy[zone], count, self._draft))
             if count:
-                self._failed.append((job.need, zone))
+                if not hopeless:
+                    self._failed.append((job.need, zone))
                 self._short(plan, job, count - tried)  # what fails wherever it is put needs no machine
                 if self._coming[zone] and not self._hopeless(job.need, zone, self._nothing_coming):
                     count -= sum(n for _, n in fill(job.need, self._coming[zone], count, self._draft))
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -24,7 +24,13 @@
 from spurarch.coordination.pulse import Pulse
 from spurarch.coordination.reach import Reach
 from spurarch.coordination.refining import refine
-from spurarch.coordination.returning import cut_off, idle_machines, overdue_machines, silent_machines
+from spurarch.coordination.returning import (
+    cut_off,
+    idle_machines,
+    orphaned_machines,
+    overdue_machines,
+    silent_machines,
+)
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import Deployment, Tuning
@@ -55,6 +61,7 @@
 BLIND_S = 6.0  # most of a part is silent, and no peer says what it hears: give the part away on suspicion
 MOVE_S = 15.0
 FRESH_S = 2.0
+CUT_S = 6.0  # without a read of the state service: this is no passing slowness
 QUIET_PAUSE_S = 2.0  # between tries to tell a silent machine that a task of it is cancelled
 
 
@@ -108,6 +115,7 @@
         self.held: dict[str, Held] = {}
         self.heard_elsewhere: dict[str, dict[str, int]] = {}  # by peer and zone, workers that look for their holder
         self._strangers: dict[str, dict[str, float]] = {}
+        self._next_orphans = 0.0
         self._returned: dict[str, str] = {}  # machines that this process returned, and their zones
         self.found_stranger = curio.Event()  # a worker that its holder gave up for unheard
         self._bell = replica.listen()
@@ -206,6 +214,7 @@
             self._bell.clear()
             if self.replica.loaded:
                 await self._look_around(time.monotonic())
+                await self._watch_orphans(time.monotonic())
             await curio.sleep(PAUSE_S)
 
     async def _look_around(self, now: float) -> None:
@@ -564,6 +573,35 @@
                 machine.returning = True
             await curio.spawn(self._return_overdue, held, machines, daemon=True)
 
+    async def _watch_orphans(self, now: float) -> None:
+        """The same for parts that nobody holds, in an outage: whoever lives may return such machines."""
+        if now < self._next_orphans or now - self.replica.synced_at < CUT_S or not self._steady(now):
+            return
+        if not self.reach.outage(now):
+            return  # a controller that is alone would take everybody's machines for orphaned
+        self._next_orphans = now + RETURNS_S
+        zones = {
+            zone for zone, part in self.replica.state.parts.items()
+            if self.membership.holds(zone) is None and not self._superseded(zone)
+            and not self.reach.answers(part.node, now, part.boot)
+        }  # fmt: skip
+        found = orphaned_machines(self.replica.state, zones, self._cancelled_ago, self.deployment.workers)
+        names = [name for name in found if name not in self._returned][:RETURN_AT_ONCE]
+        if not names:
+            return
+        log.info("returning %s: cancelled tasks may be on them, and nobody holds their part", " ".join(names))
+        try:
+            await self.cloud.release(names, lambda: time.monotonic() - self.replica.synced_at > CUT_S)
+        except (CloudTrouble, NoCapacity) as err:
+            log.info("return of %d machines: %s", len(names), err)
+            return
+        self._remember_returned({name: found[name] for name in names})
+
+    def _remember_returned(self, zones: dict[str, str]) -> None:
+        self._returned.update(zones)
+        while len(self._returned) > RETURNED_KEPT:
+            del self._returned[next(iter(self._returned))]
+
     async def _return_overdue(self, held: Held, machines: list[Machine]) -> None:
         part = held.part
         log.info("returning %s: cancelled tasks may be on them", " ".join(m.name for m in machines))
@@ -672,9 +710,7 @@
             return
         for machine in machines:
             held.part.returned(machine.name)
-            self._returned[machine.name] = machine.zone
-        while len(self._returned) > RETURNED_KEPT:
-            del self._returned[next(iter(self._returned))]
+        self._remember_returned({machine.name: machine.zone for machine in machines})
         await held.bell.set()
 
     @staticmethod
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -99,6 +99,7 @@
         self._roomy: list[Room] = []
         self._reserved: dict[tuple[str, int], Room] = {}
         self._full: list[Need] = []
+        self._lowers: dict[int, bool] = {}
         self._elsewhere: dict[tuple[object, ...], int] = {}  # places found in other parts, by kind of task
         self._queued: dict[tuple[int, int], float] | None = None
         self._gathering = 0
@@ -240,7 +241,8 @@
         waiting = self._left(where)
         entries, count = iter(waiting), len(waiting)
         # A gang starts as a whole or not at all.
-        if not self._hopeless(job.need) and not (job.gang and not all_fit(job.need, self._roomy, count)):
+        hopeless = self._hopeless(job.need)
+        if not hopeless and not (job.gang and not all_fit(job.need, self._roomy, count)):
             for room, number in fill(job.need, self._roomy, count, self.draft):
                 for entry in islice(entries, number):
                     self._assign(where, entry, room)
@@ -248,12 +250,12 @@
         left = list(entries)
         if not left:
             return
-        if not job.gang:
+        if not job.gang and not hopeless:
             self._full.append(job.need)
         if self._starving(job):
             self._gather(job)
         guaranteed = job.ref in self.view.guaranteed()
-        lower = any(used[0] > EPSILON for room in self.rooms for used in room.by_priority[job.need.priority + 1 :])
+        lower = self._lower(job.need.priority)
         for entry in left:
             key = where.job, entry.index
             self.waiting.add(key)
@@ -267,6 +269,14 @@
             if self.now - since > self._patience() and (job.gang or self._stuck(since) or self._better_elsewhere(job)):
                 self._give_back(where, entry)
 
+    def _lower(self, priority: int) -> bool:
+        """Something of lower priority runs here. Asked once a round: to ask for every job that waits is jobs times
+        machines, and took a fifth of a holder's time in the first minute of a large fleet."""
+        if priority not in self._lowers:
+            used = (used for room in self.rooms for used in room.by_priority[priority + 1 :])
+            self._lowers[priority] = any(cpus > EPSILON for cpus, *_ in used)
+        return self._lowers[priority]
+
     def _await_claim(self, where: AllotKey, job: JobView, entry: TaskEntry) -> bool:
         """Room is being freed for the task: it goes there, or keeps the room from others until it is free."""
         machine = self.placer.claimed((where.job, entry.index), self.now)
--- a/spurarch/coordination/reach.py
+++ b/spurarch/coordination/reach.py
@@ -32,7 +32,7 @@
         self.limit = (cancel_s - lease_s) / DRIFT - self._margin
         self._vouched: dict[str, float] = {peer: float("-inf") for peer in peers}
         self._copied = float("-inf")  # a peer's copy that we were told of was complete up to then
-        self._answered: dict[str, float] = {}
+        self._answered: dict[str, tuple[str, float]] = {}  # by peer, the process that answered last, and when
         self.cancelled: dict[str, float] = {}  # jobs, and when we were told
         self.parts: dict[str, tuple[str, int]] = {}
         self.peer_reaches_at = float("-inf")
@@ -43,7 +43,7 @@
         for zone, node, epoch in answer.parts:
             if epoch > self.parts.get(zone, ("", 0))[1]:
                 self.parts[zone] = node, epoch
-        self._answered[peer] = received
+        self._answered[peer] = answer.boot, received
         before = self.word(synced_at)
         if answer.reaches:
             self.peer_reaches_at = max(self.peer_reaches_at, sent)
@@ -65,9 +65,15 @@
         if self.cancelled:
             self.cancelled = {ref: at for ref, at in self.cancelled.items() if at >= synced_at}
 
-    def answers(self, peer: str, now: float) -> bool:
-        """The peer lives and hears us."""
-        return now - self._answered.get(peer, float("-inf")) < ALIVE_S
+    def answers(self, peer: str, now: float, boot: str | None = None) -> bool:
+        """The peer lives and hears us, and it is that process of it that does."""
+        process, at = self._answered.get(peer, ("", float("-inf")))
+        return now - at < ALIVE_S and boot in (None, process)
+
+    def outage(self, now: float) -> bool:
+        """A peer is heard and none reaches the state service either: this is no isolation of our own."""
+        heard = any(now - at < ALIVE_S for _, at in self._answered.values())
+        return heard and now - self.peer_reaches_at > ALIVE_S
 
     def word(self, synced_at: float) -> float:
         """Time of the newest word."""
--- a/spurarch/coordination/returning.py
+++ b/spurarch/coordination/returning.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+from spurarch.bookkeeping import records
+from spurarch.bookkeeping.replica import State
 from spurarch.coordination.machine import Machine, Standing
 from spurarch.coordination.part import FAULTS_BEFORE_PAUSE, Part
 from spurarch.coordination.view import FleetView
@@ -101,6 +105,21 @@
     return [m for m in out if not m.returning]
 
 
+def orphaned_machines(
+    state: State, zones: set[str], cancelled_ago: Callable[[str], float | None], workers: Workers
+) -> dict[str, str]:
+    """Machines, and their zones, that may hold a cancelled task while nobody who lives holds their part: a holder ended and
+    the state service is out before another could claim. By the copy that is left, as late as for machines unheard."""
+    out: dict[str, str] = {}
+    for ref in list(state.allots):
+        ago = cancelled_ago(ref)
+        if ago is not None and ago > OVERDUE_UNHEARD * workers.cancel_s:
+            for where, record in state.allots[ref].items():
+                if where.zone in zones:
+                    out.update((e.machine, where.zone) for e in record.tasks if e.state == records.ASSIGNED)
+    return out
+
+
 def idle_machines(part: Part, view: FleetView, tuning: Tuning, now: float) -> list[Machine]:
     """Machines without a task: emptied ones at once, others after a while and beyond the share of room set aside."""
     closed = set(map(view.zones.index, view.dark()))
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -305,6 +305,8 @@
         if kind == "copied":  # the copy of a controller shows that a job is cancelled
             record = self.controllers[args[0]].replica.state.jobs.get(args[1])
             return record is not None and record.cancelled
+        if kind == "heard":  # a controller was told by another that a job is cancelled
+            return args[1] in self.controllers[args[0]].reach.cancelled
         if kind == "loaded":
             return args[0] in self.running and self.controllers[args[0]].replica.loaded
         raise ValueError(f"unknown state of things: {words}")
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -173,6 +173,19 @@
         assert reach.word(100.0) == word
 
 
+def test_an_outage_is_told_from_being_alone() -> None:
+    reach = _reach()
+    assert not reach.outage(100.0)
+    reach.pong("p", 100.0, 100.1, _pong("p"), 60.0)
+    assert reach.outage(101.0)
+    assert reach.answers("p", 101.0, "x")
+    assert not reach.answers("p", 101.0, "y")  # another process by now
+    assert not reach.answers("q", 101.0)
+    reach.pong("q", 101.0, 101.1, _pong("q", reaches=True), 60.0)
+    assert not reach.outage(102.0)
+    assert not reach.outage(120.0)  # nobody has been heard for long
+
+
 def test_silence_of_an_older_version_is_no_word() -> None:
     reach = _reach()
     for peer in ("p", "q"):
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -49,6 +49,7 @@
         replica=SimpleNamespace(sync=sync), cloud=SimpleNamespace(release=release), _owns=lambda part: True, _close=close,
         _returned={}, _keep_rest=Holder._keep_rest,
     )  # fmt: skip
+    holder._remember_returned = lambda zones: Holder._remember_returned(holder, zones)
     holder._release = lambda *args: Holder._release(holder, *args)
     held: Any = SimpleNamespace(part=fleet.part, bell=SimpleNamespace(set=ring))
     curio.run(Holder._return, holder, held, machines)
@@ -103,3 +104,17 @@
     fleet.part.cancelled_ago = lambda job: 1.0 if job == "job-0" else None
     answers = [fleet.report(i, 5, fleet.part.token(fleet.part.machines[f"vm-{i}"])) for i in (0, 1)]
     assert answers == [[wire.Command(wire.STOP, f"job-0/{n}", 1, 0.0) for n in range(4)], []]
+
+
+def test_the_next_holder_is_told_of_machines_that_are_gone_though_on_record() -> None:
+    fleet = Fleet(3)
+    ours: Any = SimpleNamespace(
+        replica=SimpleNamespace(state=fleet.state), _returned={"vm-1": "a", "vm-7": "a"}, heard_elsewhere={},
+        held={"a": SimpleNamespace(part=fleet.part)},
+    )  # fmt: skip
+    told = Holder.unrecorded(ours)
+    assert told == ["vm-1"]  # the record of vm-7 is gone
+    Holder.hear(ours, "n1", {}, told)
+    assert fleet.part.machines["vm-1"].standing is Standing.GONE
+    assert fleet.part.machines["vm-0"].standing is Standing.KNOWN
+    assert len(fleet.part.over) == 1  # its tasks may start elsewhere
