Silence, cuts and returns in a module of their own, and one place that says what may still be done

No change of behaviour but one: returns for parts that nobody holds no longer hold the rounds while the cloud answers. entitled and steady were asked together in two places; Entitlement.commands is both.

--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -177,7 +177,7 @@
         hint = hints.decode(frame)
         if isinstance(hint, hints.Load):
             self._loads[hint.node] = hint, time.monotonic()
-            self.holder.hear(hint.node, dict(hint.strangers), hint.returned)
+            self.holder.returns.hear(hint.node, dict(hint.strangers), hint.returned)
             return hints.encode(hints.Wake())
         if isinstance(hint, hints.Wake):
             await curio.spawn(self._follow, daemon=True)
@@ -238,8 +238,8 @@
             now = time.monotonic()
             recent = {n: load for n, (load, at) in self._loads.items() if now - at < 3 * SHARE_S}
             total = self.platform.deployment.state.write_rps
-            mine = hints.Load(node, *self.store.recent_writes(), self.holder.strangers(now), self.holder.unrecorded())
-            self.holder.heard_elsewhere = {n: dict(load.strangers) for n, load in recent.items()}
+            mine = hints.Load(node, *self.store.recent_writes(), self.holder.strangers(now), self.holder.returns.unrecorded())
+            self.holder.returns.heard_elsewhere = {n: dict(load.strangers) for n, load in recent.items()}
             recent[node] = mine
             writes = lend(
                 node, {n: w for n, (_, w) in shares.items()}, {n: load.writes / total for n, load in recent.items()},
--- /dev/null
+++ b/spurarch/coordination/entitlement.py
@@ -0,0 +1,57 @@
+"""What this controller may still do, by what it knows of its own standing."""
+
+from __future__ import annotations
+
+import time
+
+from spurarch.bookkeeping.replica import Replica
+from spurarch.coordination.membership import Membership
+from spurarch.coordination.part import Part
+from spurarch.coordination.pulse import Pulse
+from spurarch.coordination.reach import Reach
+
+FRESH_S = 2.0
+
+
+class Entitlement:
+    """Asked before every answer, command, return and conclusion."""
+
+    def __init__(self, replica: Replica, membership: Membership, reach: Reach, pulse: Pulse, cancel_s: float) -> None:
+        self.replica, self.membership, self.reach, self._pulse = replica, membership, reach, pulse
+        self._cancel_s = cancel_s
+
+    def answers(self, now: float) -> bool:
+        """May keep workers' leases: no cancellation can have been missed for too long."""
+        return self.reach.entitled(self.replica.synced_at, now)
+
+    def commands(self, now: float) -> bool:
+        """May give commands: that, and it did not stand still since the newest word."""
+        return self.answers(now) and self.steady(now)
+
+    def steady(self, now: float) -> bool:
+        """Not just woken from standing still without a word from anyone since."""
+        return self._pulse.steady(now, self.reach.word(self.replica.synced_at))
+
+    def fresh(self, now: float) -> bool:
+        """The copy of the records is recent: what only serves placement waits while this controller may be deposed."""
+        return now - self.replica.synced_at < FRESH_S and self.steady(now)
+
+    def owns(self, part: Part) -> bool:
+        """The part is still held as it was when this was begun: not by another, and not anew by ourselves, whose earlier
+        knowledge of it would then be as stale as a stranger's."""
+        record = self.membership.holds(part.zone)
+        return record is not None and record.epoch == part.epoch
+
+    def superseded(self, zone: str) -> bool:
+        """Another holds the zone by now, as a peer says whose copy is newer than ours."""
+        heard, part = self.reach.parts.get(zone), self.replica.state.parts.get(zone)
+        return heard is not None and heard[0] != self.membership.node and (part is None or heard[1] > part.epoch)
+
+    def cancelled_ago(self, job: str) -> float | None:
+        """Seconds since a job was cancelled, as far as can be told, or None if it is not known to be."""
+        record = self.replica.state.jobs.get(job)
+        if record is not None and record.cancelled:
+            ago = time.time() - record.cancelled_at if record.cancelled_at > 0 else 0.0
+            return min(max(ago, 0.0), self._cancel_s)
+        told = self.reach.cancelled.get(job)
+        return time.monotonic() - told if told is not None else None
--- /dev/null
+++ b/spurarch/coordination/held.py
@@ -0,0 +1,30 @@
+"""A part in its holder's hands, and what is kept beside it."""
+
+from __future__ import annotations
+
+import curio
+
+from spurarch.coordination.part import Part
+from spurarch.coordination.placing import Placer
+from spurarch.settings import Tuning
+
+
+class Held:
+    """A part and what its holder keeps beside it."""
+
+    def __init__(self, part: Part, tuning: Tuning) -> None:
+        self.part = part
+        self.placer = Placer(tuning.longest_wait_s, tuning.guarantee_wait_s)
+        self.dirty: dict[str, None] = {}
+        self.bell = curio.Event()
+        self.next_search = 0.0
+        self.next_tick = 0.0
+        self.next_returns = 0.0
+        self.next_look = 0.0
+        self.next_overdue = 0.0
+        self.cleaned_at = 0.0
+        self.peopled_at = part.taken_at  # when the part last had machines
+        self.working = False
+        self.provisional = False  # it works by records that were read before its claim, to stop what is cancelled
+        self.cut = False
+        self.cut_since: float | None = None  # most machines are silent
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -1,10 +1,10 @@
-"""Runs the parts that this controller holds: reports in, records and commands out, machines returned."""
+"""Runs the parts that this controller holds: reports in, records and commands out."""
 
 from __future__ import annotations
 
 import logging
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -12,25 +12,20 @@
 import msgspec
 
 from spurarch.bookkeeping import records
-from spurarch.bookkeeping.cloud import Cloud, CloudTrouble, NoCapacity
+from spurarch.bookkeeping.cloud import Cloud
 from spurarch.bookkeeping.limits import Urgency
 from spurarch.bookkeeping.records import AllotKey, MachineRecord, TaskEntry
 from spurarch.bookkeeping.replica import Replica, Write
 from spurarch.bookkeeping.store import Verdict
+from spurarch.coordination.entitlement import Entitlement
+from spurarch.coordination.held import Held
 from spurarch.coordination.machine import Machine, Standing, TaskRun
 from spurarch.coordination.membership import Membership
-from spurarch.coordination.part import RETURNED_KEPT, Part, merged
-from spurarch.coordination.placing import Placer
+from spurarch.coordination.part import Part, merged
 from spurarch.coordination.pulse import Pulse
 from spurarch.coordination.reach import Reach
 from spurarch.coordination.refining import refine
-from spurarch.coordination.returning import (
-    cut_off,
-    idle_machines,
-    orphaned_machines,
-    overdue_machines,
-    silent_machines,
-)
+from spurarch.coordination.returns import Returns
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import Deployment, Tuning
@@ -42,8 +37,6 @@
 TICK_S = 0.1
 PAUSE_S = 0.03
 PART_TICK_S = 0.25
-RETURNS_S = 1.0
-RETURN_AT_ONCE = 100
 MOST_PLACED = 200  # allotments in one round
 MOST_BATCHES = 2  # of one urgency in one round, so that what comes meanwhile is planned in its place
 GATHER_S = 3.0
@@ -55,13 +48,7 @@
 DIRECT_SHARE, DIRECT_MOST = 8, 150  # of all sockets, one in so many is for connections to workers
 SILENT_REPORTS = 2.5
 STRANGERS_S = 5.0  # a worker that looks for its holder comes by more often than that
-STRANGERS = 2  # that many, since a single one may be a late copy of a report
-BACK_S = 2.0
-EMPTY_S = 60.0
-BLIND_S = 6.0  # most of a part is silent, and no peer says what it hears: give the part away on suspicion
 MOVE_S = 15.0
-FRESH_S = 2.0
-CUT_S = 6.0  # without a read of the state service: this is no passing slowness
 QUIET_PAUSE_S = 2.0  # between tries to tell a silent machine that a task of it is cancelled
 
 
@@ -71,27 +58,6 @@
     return max(8, min(DIRECT_MOST, sockets // DIRECT_SHARE))
 
 
-class Held:
-    """A part and what its holder keeps beside it."""
-
-    def __init__(self, part: Part, tuning: Tuning) -> None:
-        self.part = part
-        self.placer = Placer(tuning.longest_wait_s, tuning.guarantee_wait_s)
-        self.dirty: dict[str, None] = {}
-        self.bell = curio.Event()
-        self.next_search = 0.0
-        self.next_tick = 0.0
-        self.next_returns = 0.0
-        self.next_look = 0.0
-        self.next_overdue = 0.0
-        self.cleaned_at = 0.0
-        self.peopled_at = part.taken_at  # when the part last had machines
-        self.working = False
-        self.provisional = False  # it works by records that were read before its claim, to stop what is cancelled
-        self.cut = False
-        self.cut_since: float | None = None  # most machines are silent
-
-
 @dataclass(slots=True)
 class _Change:
     """A change of a record that a round decided on: a write, or entries of an allotment (None: it goes)."""
@@ -109,14 +75,13 @@
         self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, reach: Reach, pulse: Pulse,
         deployment: Deployment, tuning: Tuning, network: Network,
     ) -> None:  # fmt: skip
-        self._network, self._pulse = network, pulse
+        self._network = network
         self.replica, self.membership, self.view = replica, membership, view
-        self.cloud, self.reach, self.deployment, self.tuning = cloud, reach, deployment, tuning
+        self.reach, self.deployment, self.tuning = reach, deployment, tuning
         self.held: dict[str, Held] = {}
-        self.heard_elsewhere: dict[str, dict[str, int]] = {}  # by peer and zone, workers that look for their holder
+        self._can = Entitlement(replica, membership, reach, pulse, deployment.workers.cancel_s)
+        self.returns = Returns(replica, membership, view, cloud, self._can, pulse, deployment, tuning, self.held)
         self._strangers: dict[str, dict[str, float]] = {}
-        self._next_orphans = 0.0
-        self._returned: dict[str, str] = {}  # machines that this process returned, and their zones
         self.found_stranger = curio.Event()  # a worker that its holder gave up for unheard
         self._bell = replica.listen()
         self._dirty = replica.state.subscribe()
@@ -132,7 +97,7 @@
         """Answers a report: 200 as holder, 421 to steer the worker, 503 if nobody can tell."""
         heard = self.reach.parts.get(report.zone)
         part = self.replica.state.parts.get(report.zone)
-        if self._superseded(report.zone) and heard is not None and self.reach.answers(heard[0], now):
+        if self._can.superseded(report.zone) and heard is not None and self.reach.answers(heard[0], now):
             return 421, wire.encode(wire.Steer(heard[0]))  # a peer told us
         if self.membership.holds(report.zone) is None:
             lost = report.zone in self.view.dark()
@@ -146,12 +111,12 @@
             if part is None or part.node == self.membership.node:
                 return 503, wire.encode(wire.ErrorBody("the holder of this zone is not known yet"))
             return 421, wire.encode(wire.Steer(part.node))
-        if not self.reach.entitled(self.replica.synced_at, now):
+        if not self._can.answers(now):
             return 503, wire.encode(wire.ErrorBody("cut from the state service for too long"))
         held = self._hold(report.zone, now)
         fresh = held.part.machines.get(report.machine)
         news = fresh is None or fresh.reported != len(report.tasks)
-        commands = held.part.on_report(report, now, self._steady(now))
+        commands = held.part.on_report(report, now, self._can.steady(now))
         if commands is None:
             return 503, wire.encode(wire.ErrorBody("not entitled to this worker"))
         machine = held.part.machines[report.machine]
@@ -159,27 +124,12 @@
             await held.bell.set()
         return 200, wire.encode(wire.ReportAnswer(held.part.token(machine), commands))
 
-    def _superseded(self, zone: str) -> bool:
-        """Another holds the zone by now, as a peer says whose copy is newer than ours."""
-        heard, part = self.reach.parts.get(zone), self.replica.state.parts.get(zone)
-        return heard is not None and heard[0] != self.membership.node and (part is None or heard[1] > part.epoch)
-
     def strangers(self, now: float) -> list[tuple[str, int]]:
         """By zone, workers that reported here of late though another holds their zone."""
         for zone, heard in self._strangers.items():
             self._strangers[zone] = {name: at for name, at in heard.items() if now - at < STRANGERS_S}
         return [(zone, len(heard)) for zone, heard in self._strangers.items() if heard]
 
-    def _steady(self, now: float) -> bool:
-        """Not just woken from standing still without a word from anyone since."""
-        return self._pulse.steady(now, self.reach.word(self.replica.synced_at))
-
-    def _owns(self, part: Part) -> bool:
-        """The part is still held as it was when this was begun: not by another, and not anew by ourselves, whose earlier
-        knowledge of it would then be as stale as a stranger's."""
-        record = self.membership.holds(part.zone)
-        return record is not None and record.epoch == part.epoch
-
     def _hold(self, zone: str, now: float) -> Held:
         """The part in memory, begun anew with every epoch."""
         record = self.replica.state.parts[zone]
@@ -187,19 +137,10 @@
         if held is None or held.part.epoch != record.epoch:
             held = Held(Part(zone, record.epoch, self.deployment.workers.lease_s, now, self._image_of), self.tuning)
             held.placer.silent_s = SILENT_REPORTS * self.deployment.workers.report_s
-            held.part.cancelled_ago = self._cancelled_ago
+            held.part.cancelled_ago = self._can.cancelled_ago
             self.held[zone] = held
         return held
 
-    def _cancelled_ago(self, job: str) -> float | None:
-        """Seconds since a job was cancelled, as far as can be told, or None if it is not known to be."""
-        record = self.replica.state.jobs.get(job)
-        if record is not None and record.cancelled:
-            ago = time.time() - record.cancelled_at if record.cancelled_at > 0 else 0.0
-            return min(max(ago, 0.0), self.deployment.workers.cancel_s)
-        told = self.reach.cancelled.get(job)
-        return time.monotonic() - told if told is not None else None
-
     def _image_of(self, job: str) -> int | None:
         known = self.view.jobs.get(job)
         return known.need.image if known is not None else None
@@ -214,7 +155,7 @@
             self._bell.clear()
             if self.replica.loaded:
                 await self._look_around(time.monotonic())
-                await self._watch_orphans(time.monotonic())
+                await self.returns.watch_orphans(time.monotonic())
             await curio.sleep(PAUSE_S)
 
     async def _look_around(self, now: float) -> None:
@@ -236,7 +177,7 @@
     async def _run_part(self, held: Held) -> None:
         """Rounds of one part, as long as it is held: on news, and every now and then."""
         zone = held.part.zone
-        while self.held.get(zone) is held and self._owns(held.part):
+        while self.held.get(zone) is held and self._can.owns(held.part):
             await curio.ignore_after(TICK_S, held.bell.wait)
             held.bell.clear()
             try:
@@ -254,15 +195,15 @@
         """Stops and starts go out while transactions wait in line: a cancelled job's tasks have to leave in time,
         however short changes are (docs/incidents/2026-12-02-commands-behind-records.md). Silence is judged here too: in
         a round it was found late, and a controller cut from its workers returned them before it noticed."""
-        while self.held.get(held.part.zone) is held and self._owns(held.part):
+        while self.held.get(held.part.zone) is held and self._can.owns(held.part):
             await curio.sleep(TICK_S)
             try:
-                if (held.part.ready or held.provisional) and self._owns(held.part):
+                if (held.part.ready or held.provisional) and self._can.owns(held.part):
                     self._obey_cancels(held)
                     await self._send(held)
-                    await self._watch_overdue(held, time.monotonic())
+                    await self.returns.watch_overdue(held, time.monotonic())
                     if held.part.ready:
-                        await self._watch_silence(held, time.monotonic())
+                        await self.returns.watch_silence(held, time.monotonic())
             except curio.CancelledError:
                 raise
             except Exception:  # must not end the controller
@@ -309,7 +250,7 @@
     async def _work(self, held: Held) -> None:
         part, state, now = held.part, self.replica.state, time.monotonic()
         writes: list[Write] = []
-        if now >= held.next_tick and self._steady(now):
+        if now >= held.next_tick and self._can.steady(now):
             held.next_tick = now + PART_TICK_S
             part.tick(now)
             writes = self._machine_writes(part, now)
@@ -319,7 +260,7 @@
             deadline = now + self.tuning.budget_ms / 1000
             held.placer.scarce = self.replica.store.write_level() < SCARCE_LEVEL
             placed = held.placer.run(part, self.view, now, lambda: time.monotonic() > deadline, MOST_PLACED, time.time())
-            if self._fresh(now):
+            if self._can.fresh(now):
                 for run in placed.preempt:
                     log.info("preempting %s/%d on %s", *run.key, run.machine)
                     part.stop(run, self._grace(run))
@@ -330,7 +271,7 @@
         await self._commit(held, changes, writes)
         self._refine(held, now)
         await self._send(held)
-        await self._return_idle(held, now)
+        await self.returns.return_idle(held, now)
 
     def _gather_s(self) -> float:
         """How long ends are gathered: not at all while changes are to be had, longer the scarcer they are."""
@@ -349,7 +290,7 @@
             return
         first = held.next_search == 0.0
         held.next_search = now + self.tuning.round_s
-        if first or not self._fresh(now):
+        if first or not self._can.fresh(now):
             return
         deadline = time.monotonic() + self.tuning.budget_ms / 1000
         result = refine(part, self.view, self.tuning, now, self._random, lambda: time.monotonic() > deadline)
@@ -363,10 +304,6 @@
         if result.search is not None and result.search.moves:
             log.info("search of %s: cost %.4f to %.4f", part.zone, result.search.before, result.search.after)
 
-    def _fresh(self, now: float) -> bool:
-        """The copy of the records is recent: what only serves placement waits while this controller may be deposed."""
-        return now - self.replica.synced_at < FRESH_S and self._steady(now)
-
     def _grace(self, run: TaskRun) -> float:
         job = self.replica.state.jobs.get(run.where.job)
         return job.spec.save_s * 1.5 + 1.0 if job is not None and job.spec.checkpoint_s > 0 else 0.0
@@ -474,7 +411,7 @@
         return Write(str(change.where), new) if new is not None else None
 
     async def _commit_batch(self, part: Part, batch: list[_Change], urgency: Urgency) -> None:
-        if not self._owns(part):
+        if not self._can.owns(part):
             return
         pairs = [(change, write) for change in batch if (write := self._write_of(part, change)) is not None]
         if not pairs:
@@ -497,7 +434,7 @@
         if part.ready:
             self._spread_news()
             self._take_news(held, now)
-        if not part.attention or not self.reach.entitled(self.replica.synced_at, now) or not self._steady(now):
+        if not part.attention or not self._can.commands(now):
             return
         silent = SILENT_REPORTS * self.deployment.workers.report_s
         for name in list(part.attention):
@@ -524,7 +461,7 @@
         async with self._direct_slots:
             self._in_line.discard(machine.name)
             now = time.monotonic()
-            if self._owns(held.part) and self.reach.entitled(self.replica.synced_at, now) and self._steady(now):
+            if self._can.owns(held.part) and self._can.commands(now):
                 sent = held.part.direct(machine)
                 if sent is not None:
                     await self._command(held, machine, sent)
@@ -546,192 +483,3 @@
         part.direct_answered(machine, sent, report, time.monotonic())
         if part.over:
             await held.bell.set()
-
-    # Returning machines
-
-    async def _watch_silence(self, held: Held, now: float) -> None:
-        """Starts the return of machines that are silent, deaf, or were never seen by this holder."""
-        if now < held.next_look or not self._fresh(now):
-            return
-        held.next_look = now + RETURNS_S
-        workers, woke_at = self.deployment.workers, self._pulse.woke_at
-        held.cut = cut_off(held.part, workers, now, woke_at)
-        self._note_cut(held, now)
-        found = silent_machines(held.part, self.tuning, workers, self.reach.limit, now, held.cut, woke_at)
-        await self._start_return(held, found, now)
-
-    async def _watch_overdue(self, held: Held, now: float) -> None:
-        """Returns machines whose cancelled tasks won't show that they left, whether or not the state service answers."""
-        part = held.part
-        if not part.called_off or now < held.next_overdue or not self._steady(now) or self._superseded(part.zone):
-            return
-        held.next_overdue = now + RETURNS_S
-        found = overdue_machines(part, self.deployment.workers, now, held.cut, self._pulse.woke_at)
-        machines = [m for m in found if m.return_after <= now][:RETURN_AT_ONCE]
-        if machines:
-            for machine in machines:
-                machine.returning = True
-            await curio.spawn(self._return_overdue, held, machines, daemon=True)
-
-    async def _watch_orphans(self, now: float) -> None:
-        """The same for parts that nobody holds, in an outage: whoever lives may return such machines."""
-        if now < self._next_orphans or now - self.replica.synced_at < CUT_S or not self._steady(now):
-            return
-        if not self.reach.outage(now):
-            return  # a controller that is alone would take everybody's machines for orphaned
-        self._next_orphans = now + RETURNS_S
-        zones = {
-            zone for zone, part in self.replica.state.parts.items()
-            if self.membership.holds(zone) is None and not self._superseded(zone)
-            and not self.reach.answers(part.node, now, part.boot)
-        }  # fmt: skip
-        found = orphaned_machines(self.replica.state, zones, self._cancelled_ago, self.deployment.workers)
-        names = [name for name in found if name not in self._returned][:RETURN_AT_ONCE]
-        if not names:
-            return
-        log.info("returning %s: cancelled tasks may be on them, and nobody holds their part", " ".join(names))
-        try:
-            await self.cloud.release(names, lambda: time.monotonic() - self.replica.synced_at > CUT_S)
-        except (CloudTrouble, NoCapacity) as err:
-            log.info("return of %d machines: %s", len(names), err)
-            return
-        self._remember_returned({name: found[name] for name in names})
-
-    def _remember_returned(self, zones: dict[str, str]) -> None:
-        self._returned.update(zones)
-        while len(self._returned) > RETURNED_KEPT:
-            del self._returned[next(iter(self._returned))]
-
-    async def _return_overdue(self, held: Held, machines: list[Machine]) -> None:
-        part = held.part
-        log.info("returning %s: cancelled tasks may be on them", " ".join(m.name for m in machines))
-
-        def still() -> bool:
-            now = time.monotonic()
-            return self._owns(part) and self._steady(now) and any(part.overdue(m) is not None for m in machines)
-
-        try:
-            await self._release(held, machines, still)
-        finally:
-            self._keep_rest(machines)
-
-    def unrecorded(self) -> list[str]:
-        """Machines that this process returned and that are on record all the same: their part went to another first, or a
-        transaction that had put them there was carried out late. Their holder would take them for room, and wait."""
-        on_record = self.replica.state.machines
-        return [name for name, zone in self._returned.items() if name in on_record[zone]][:RETURN_AT_ONCE]
-
-    async def _return_idle(self, held: Held, now: float) -> None:
-        """Starts the return of machines without work; in line with placing, which might give them some."""
-        if now >= held.next_returns and self._fresh(now) and not held.cut:
-            held.next_returns = now + RETURNS_S
-            await self._start_return(held, idle_machines(held.part, self.view, self.tuning, now), now)
-
-    async def _start_return(self, held: Held, found: list[Machine], now: float) -> None:
-        machines = [m for m in found if m.return_after <= now][:RETURN_AT_ONCE]
-        if machines:
-            for machine in machines:
-                machine.returning = True
-            await curio.spawn(self._return, held, machines, daemon=True)
-
-    def hear(self, node: str, strangers: dict[str, int], returned: list[str]) -> None:
-        """A peer says which workers look for their holder there, and which machines it returned without a record."""
-        self.heard_elsewhere[node] = strangers
-        for held in self.held.values():
-            for name in returned:
-                if name in held.part.machines:
-                    held.part.returned(name)
-        for zone in strangers:
-            if zone in self.held:
-                self.held[zone].next_look = 0.0  # what is left of those workers' leases is short
-
-    def _note_cut(self, held: Held, now: float) -> None:
-        """Most machines of a part fell silent: whose fault is it?
-
-        If others hear those workers, this controller is cut off from them, and another should take the part. If nobody
-        does, the zone is: the part stays with the one who remembers its machines, since only that one can tell when
-        their leases have run out (a new holder would have to wait for longer, or return them all).
-        """
-        part, zone = held.part, held.part.zone
-        if not held.cut:
-            held.cut_since = None
-        elif held.cut_since is None:
-            held.cut_since = now
-        # Once the zone is back, some of its workers come here, though others go to other controllers first.
-        known = [m for m in part.machines.values() if m.standing is Standing.KNOWN]
-        if part.machines:
-            held.peopled_at = now
-        if any(now - (m.heard_at or 0.0) < BACK_S for m in known) or now - held.peopled_at > EMPTY_S:
-            # A dark zone whose machines have all been returned stays dark for a while: what is rented there would not be
-            # heard either, and what is admitted for it would come back, again and again.
-            part.dark = False
-        elif held.cut_since is not None:
-            elsewhere = sum(heard.get(zone, 0) for heard in self.heard_elsewhere.values())
-            blind = not self.heard_elsewhere and now - held.cut_since > BLIND_S
-            if elsewhere >= max(1, min(STRANGERS, len(part.machines) // 4)) or (blind and not part.dark):
-                self.membership.note_unfit(zone, now)
-                log.warning("most machines of %s are silent: another controller should take the part", zone)
-            elif not part.dark and self.heard_elsewhere:
-                part.dark = True
-                log.warning("nobody hears the machines of %s", zone)
-        self.membership.note_dark(zone, part.dark)
-
-    async def _return(self, held: Held, machines: list[Machine]) -> None:
-        """Returns machines in one call: calls are few, and a wave of silent machines has many."""
-        part, asked = held.part, machines
-        try:
-            # A controller cut from the state service may have been deposed: to it, all machines of its old part look
-            # silent while they report to the new holder, and returning them would end healthy work.
-            if not await self.replica.sync() or not self._owns(part):
-                return
-            idle = [m for m in machines if m.standing is Standing.KNOWN and not m.runs]
-            if not await self._close(part, idle):
-                return
-            if not self._owns(part):
-                return
-            # A task may have been recorded onto one of them meanwhile.
-            machines = [m for m in machines if m not in idle or not m.runs]
-            if not machines:
-                return
-            for machine in machines:
-                state = "deaf" if machine.deaf else machine.standing.value
-                log.info("returning %s (%s, %d tasks)", machine.name, state, len(machine.runs))
-            # The line in front of the cloud may be long, and this process may stand still in it.
-            await self._release(held, machines, lambda: self._owns(part) and self._fresh(time.monotonic()))
-        finally:
-            self._keep_rest(asked)
-
-    async def _release(self, held: Held, machines: list[Machine], still: Callable[[], bool]) -> None:
-        """Has the cloud take machines back; its answer proves that everything on them is gone."""
-        try:
-            await self.cloud.release([m.name for m in machines], still)
-        except (CloudTrouble, NoCapacity) as err:
-            log.info("return of %d machines: %s", len(machines), err)
-            return
-        for machine in machines:
-            held.part.returned(machine.name)
-        self._remember_returned({machine.name: machine.zone for machine in machines})
-        await held.bell.set()
-
-    @staticmethod
-    def _keep_rest(machines: list[Machine]) -> None:
-        """Whichever were not returned after all can be used, or returned, again: also those that were left out because
-        a task was recorded onto them meanwhile, which stayed closed for ever once."""
-        for machine in machines:
-            if machine.standing is not Standing.GONE:
-                machine.return_after = time.monotonic() + RETURNS_S
-                machine.returning = False
-
-    async def _close(self, part: Part, machines: list[Machine]) -> bool:
-        """Closes machines on record first: no task may be assigned to them while the cloud takes them down."""
-        writes = []
-        for machine in machines:
-            record = MachineRecord(machine.type, machine.spot, machine.addr, False)
-            if self.replica.state.machines[part.zone].get(machine.name) != record:
-                writes.append(Write(records.machine_key(part.zone, machine.name), record))
-        most = self.deployment.state.txn_ops
-        for at in range(0, len(writes), most):
-            outcome = await self.replica.commit(writes[at : at + most], [records.PART + part.zone], give_up_s=3.0)
-            if outcome.verdict is not Verdict.DONE:
-                return False
-        return True
--- /dev/null
+++ b/spurarch/coordination/returns.py
@@ -0,0 +1,247 @@
+"""Silence, cuts and what goes back to the cloud: by whom a holder is not heard, and what follows."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+
+import curio
+
+from spurarch.bookkeeping import records
+from spurarch.bookkeeping.cloud import Cloud, CloudTrouble, NoCapacity
+from spurarch.bookkeeping.records import MachineRecord
+from spurarch.bookkeeping.replica import Replica, Write
+from spurarch.bookkeeping.store import Verdict
+from spurarch.coordination.entitlement import Entitlement
+from spurarch.coordination.held import Held
+from spurarch.coordination.machine import Machine, Standing
+from spurarch.coordination.membership import Membership
+from spurarch.coordination.part import RETURNED_KEPT, Part
+from spurarch.coordination.pulse import Pulse
+from spurarch.coordination.returning import (
+    cut_off,
+    idle_machines,
+    orphaned_machines,
+    overdue_machines,
+    silent_machines,
+)
+from spurarch.coordination.view import FleetView
+from spurarch.settings import Deployment, Tuning
+
+log = logging.getLogger(__name__)
+
+RETURNS_S = 1.0
+RETURN_AT_ONCE = 100
+STRANGERS = 2  # that many, since a single one may be a late copy of a report
+BACK_S = 2.0
+EMPTY_S = 60.0
+BLIND_S = 6.0  # most of a part is silent, and no peer says what it hears: give the part away on suspicion
+CUT_S = 6.0  # without a read of the state service: this is no passing slowness
+
+
+class Returns:
+    """All returns of this controller, and what it makes of the silence of its machines."""
+
+    def __init__(
+        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, can: Entitlement, pulse: Pulse,
+        deployment: Deployment, tuning: Tuning, held: dict[str, Held],
+    ) -> None:  # fmt: skip
+        self.replica, self.membership, self.view, self.cloud = replica, membership, view, cloud
+        self.reach, self._can, self._pulse = can.reach, can, pulse
+        self.deployment, self.tuning, self.held = deployment, tuning, held
+        self.heard_elsewhere: dict[str, dict[str, int]] = {}  # by peer and zone, workers that look for their holder
+        self._next_orphans = 0.0
+        self._orphans_under_way = False
+        self._returned: dict[str, str] = {}  # machines that this process returned, and their zones
+
+    async def watch_silence(self, held: Held, now: float) -> None:
+        """Starts the return of machines that are silent, deaf, or were never seen by this holder."""
+        if now < held.next_look or not self._can.fresh(now):
+            return
+        held.next_look = now + RETURNS_S
+        workers, woke_at = self.deployment.workers, self._pulse.woke_at
+        held.cut = cut_off(held.part, workers, now, woke_at)
+        self._note_cut(held, now)
+        found = silent_machines(held.part, self.tuning, workers, self.reach.limit, now, held.cut, woke_at)
+        await self._start_return(held, found, now)
+
+    async def watch_overdue(self, held: Held, now: float) -> None:
+        """Returns machines whose cancelled tasks won't show that they left, whether or not the state service answers."""
+        part = held.part
+        if not part.called_off or now < held.next_overdue or not self._can.steady(now) or self._can.superseded(part.zone):
+            return
+        held.next_overdue = now + RETURNS_S
+        found = overdue_machines(part, self.deployment.workers, now, held.cut, self._pulse.woke_at)
+        machines = [m for m in found if m.return_after <= now][:RETURN_AT_ONCE]
+        if machines:
+            for machine in machines:
+                machine.returning = True
+            await curio.spawn(self._return_overdue, held, machines, daemon=True)
+
+    async def watch_orphans(self, now: float) -> None:
+        """The same for parts that nobody holds, in an outage: whoever lives may return such machines."""
+        if now < self._next_orphans or now - self.replica.synced_at < CUT_S or not self._can.steady(now):
+            return
+        if not self.reach.outage(now):
+            return  # a controller that is alone would take everybody's machines for orphaned
+        self._next_orphans = now + RETURNS_S
+        zones = {
+            zone for zone, part in self.replica.state.parts.items()
+            if self.membership.holds(zone) is None and not self._can.superseded(zone)
+            and not self.reach.answers(part.node, now, part.boot)
+        }  # fmt: skip
+        found = orphaned_machines(self.replica.state, zones, self._can.cancelled_ago, self.deployment.workers)
+        left = {name: zone for name, zone in found.items() if name not in self._returned}
+        if left and not self._orphans_under_way:
+            self._orphans_under_way = True
+            await curio.spawn(self._return_orphans, dict(list(left.items())[:RETURN_AT_ONCE]), daemon=True)
+
+    async def _return_orphans(self, zones: dict[str, str]) -> None:
+        log.info("returning %s: cancelled tasks may be on them, and nobody holds their part", " ".join(zones))
+        try:
+            await self.cloud.release(list(zones), lambda: time.monotonic() - self.replica.synced_at > CUT_S)
+            self._remember_returned(zones)
+        except (CloudTrouble, NoCapacity) as err:
+            log.info("return of %d machines: %s", len(zones), err)
+        finally:
+            self._orphans_under_way = False
+
+    def _remember_returned(self, zones: dict[str, str]) -> None:
+        self._returned.update(zones)
+        while len(self._returned) > RETURNED_KEPT:
+            del self._returned[next(iter(self._returned))]
+
+    async def _return_overdue(self, held: Held, machines: list[Machine]) -> None:
+        part = held.part
+        log.info("returning %s: cancelled tasks may be on them", " ".join(m.name for m in machines))
+
+        def still() -> bool:
+            now = time.monotonic()
+            return self._can.owns(part) and self._can.steady(now) and any(part.overdue(m) is not None for m in machines)
+
+        try:
+            await self._release(held, machines, still)
+        finally:
+            self._keep_rest(machines)
+
+    def unrecorded(self) -> list[str]:
+        """Machines that this process returned and that are on record all the same: their part went to another first, or a
+        transaction that had put them there was carried out late. Their holder would take them for room, and wait."""
+        on_record = self.replica.state.machines
+        return [name for name, zone in self._returned.items() if name in on_record[zone]][:RETURN_AT_ONCE]
+
+    async def return_idle(self, held: Held, now: float) -> None:
+        """Starts the return of machines without work; in line with placing, which might give them some."""
+        if now >= held.next_returns and self._can.fresh(now) and not held.cut:
+            held.next_returns = now + RETURNS_S
+            await self._start_return(held, idle_machines(held.part, self.view, self.tuning, now), now)
+
+    async def _start_return(self, held: Held, found: list[Machine], now: float) -> None:
+        machines = [m for m in found if m.return_after <= now][:RETURN_AT_ONCE]
+        if machines:
+            for machine in machines:
+                machine.returning = True
+            await curio.spawn(self._return, held, machines, daemon=True)
+
+    def hear(self, node: str, strangers: dict[str, int], returned: list[str]) -> None:
+        """A peer says which workers look for their holder there, and which machines it returned without a record."""
+        self.heard_elsewhere[node] = strangers
+        for held in self.held.values():
+            for name in returned:
+                if name in held.part.machines:
+                    held.part.returned(name)
+        for zone in strangers:
+            if zone in self.held:
+                self.held[zone].next_look = 0.0  # what is left of those workers' leases is short
+
+    def _note_cut(self, held: Held, now: float) -> None:
+        """Most machines of a part fell silent: whose fault is it?
+
+        If others hear those workers, this controller is cut off from them, and another should take the part. If nobody
+        does, the zone is: the part stays with the one who remembers its machines, since only that one can tell when
+        their leases have run out (a new holder would have to wait for longer, or return them all).
+        """
+        part, zone = held.part, held.part.zone
+        if not held.cut:
+            held.cut_since = None
+        elif held.cut_since is None:
+            held.cut_since = now
+        # Once the zone is back, some of its workers come here, though others go to other controllers first.
+        known = [m for m in part.machines.values() if m.standing is Standing.KNOWN]
+        if part.machines:
+            held.peopled_at = now
+        if any(now - (m.heard_at or 0.0) < BACK_S for m in known) or now - held.peopled_at > EMPTY_S:
+            # A dark zone whose machines have all been returned stays dark for a while: what is rented there would not be
+            # heard either, and what is admitted for it would come back, again and again.
+            part.dark = False
+        elif held.cut_since is not None:
+            elsewhere = sum(heard.get(zone, 0) for heard in self.heard_elsewhere.values())
+            blind = not self.heard_elsewhere and now - held.cut_since > BLIND_S
+            if elsewhere >= max(1, min(STRANGERS, len(part.machines) // 4)) or (blind and not part.dark):
+                self.membership.note_unfit(zone, now)
+                log.warning("most machines of %s are silent: another controller should take the part", zone)
+            elif not part.dark and self.heard_elsewhere:
+                part.dark = True
+                log.warning("nobody hears the machines of %s", zone)
+        self.membership.note_dark(zone, part.dark)
+
+    async def _return(self, held: Held, machines: list[Machine]) -> None:
+        """Returns machines in one call: calls are few, and a wave of silent machines has many."""
+        part, asked = held.part, machines
+        try:
+            # A controller cut from the state service may have been deposed: to it, all machines of its old part look
+            # silent while they report to the new holder, and returning them would end healthy work.
+            if not await self.replica.sync() or not self._can.owns(part):
+                return
+            idle = [m for m in machines if m.standing is Standing.KNOWN and not m.runs]
+            if not await self._close(part, idle):
+                return
+            if not self._can.owns(part):
+                return
+            # A task may have been recorded onto one of them meanwhile.
+            machines = [m for m in machines if m not in idle or not m.runs]
+            if not machines:
+                return
+            for machine in machines:
+                state = "deaf" if machine.deaf else machine.standing.value
+                log.info("returning %s (%s, %d tasks)", machine.name, state, len(machine.runs))
+            # The line in front of the cloud may be long, and this process may stand still in it.
+            await self._release(held, machines, lambda: self._can.owns(part) and self._can.fresh(time.monotonic()))
+        finally:
+            self._keep_rest(asked)
+
+    async def _release(self, held: Held, machines: list[Machine], still: Callable[[], bool]) -> None:
+        """Has the cloud take machines back; its answer proves that everything on them is gone."""
+        try:
+            await self.cloud.release([m.name for m in machines], still)
+        except (CloudTrouble, NoCapacity) as err:
+            log.info("return of %d machines: %s", len(machines), err)
+            return
+        for machine in machines:
+            held.part.returned(machine.name)
+        self._remember_returned({machine.name: machine.zone for machine in machines})
+        await held.bell.set()
+
+    @staticmethod
+    def _keep_rest(machines: list[Machine]) -> None:
+        """Whichever were not returned after all can be used, or returned, again: also those that were left out because
+        a task was recorded onto them meanwhile, which stayed closed for ever once."""
+        for machine in machines:
+            if machine.standing is not Standing.GONE:
+                machine.return_after = time.monotonic() + RETURNS_S
+                machine.returning = False
+
+    async def _close(self, part: Part, machines: list[Machine]) -> bool:
+        """Closes machines on record first: no task may be assigned to them while the cloud takes them down."""
+        writes = []
+        for machine in machines:
+            record = MachineRecord(machine.type, machine.spot, machine.addr, False)
+            if self.replica.state.machines[part.zone].get(machine.name) != record:
+                writes.append(Write(records.machine_key(part.zone, machine.name), record))
+        most = self.deployment.state.txn_ops
+        for at in range(0, len(writes), most):
+            outcome = await self.replica.commit(writes[at : at + most], [records.PART + part.zone], give_up_s=3.0)
+            if outcome.verdict is not Verdict.DONE:
+                return False
+        return True
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -11,9 +11,9 @@
 
 from spurarch.bookkeeping import records
 from spurarch.bookkeeping.records import MachineRecord
-from spurarch.coordination.holder import Holder
 from spurarch.coordination.machine import Standing
 from spurarch.coordination.returning import overdue_machines
+from spurarch.coordination.returns import Returns
 from spurarch.protocol import wire
 from spurarch.settings import Workers
 from tests.test_scale import Fleet
@@ -21,6 +21,13 @@
 WORKERS = Workers(1.0, 10.0, 30.0)
 
 
+def _returns(**parts: Any) -> Returns:
+    given = {"can": SimpleNamespace(reach=None), "held": {}, "replica": None, "cloud": None, **parts}
+    return Returns(
+        given["replica"], None, None, given["cloud"], given["can"], None, None, None, given["held"],  # type: ignore[arg-type]
+    )
+
+
 def test_a_machine_left_out_of_a_return_is_of_use_again() -> None:
     """A task is recorded onto one of two idle machines while both are closed. It stayed marked as being returned for
     ever on the former code, so nobody used it, and nobody returned it."""
@@ -45,14 +52,12 @@
     async def ring() -> None:
         pass
 
-    holder: Any = SimpleNamespace(
-        replica=SimpleNamespace(sync=sync), cloud=SimpleNamespace(release=release), _owns=lambda part: True, _close=close,
-        _returned={}, _keep_rest=Holder._keep_rest,
-    )  # fmt: skip
-    holder._remember_returned = lambda zones: Holder._remember_returned(holder, zones)
-    holder._release = lambda *args: Holder._release(holder, *args)
+    can: Any = SimpleNamespace(owns=lambda part: True, reach=None)
+    replica, cloud = SimpleNamespace(sync=sync), SimpleNamespace(release=release)
+    returns = _returns(can=can, replica=replica, cloud=cloud)
+    returns._close = close  # type: ignore[method-assign, assignment]
     held: Any = SimpleNamespace(part=fleet.part, bell=SimpleNamespace(set=ring))
-    curio.run(Holder._return, holder, held, machines)
+    curio.run(returns._return, held, machines)
     assert released == ["vm-0"]
     assert [machine.standing for machine in machines] == [Standing.GONE, Standing.KNOWN]
     assert not machines[1].returning
@@ -108,13 +113,11 @@
 
 def test_the_next_holder_is_told_of_machines_that_are_gone_though_on_record() -> None:
     fleet = Fleet(3)
-    ours: Any = SimpleNamespace(
-        replica=SimpleNamespace(state=fleet.state), _returned={"vm-1": "a", "vm-7": "a"}, heard_elsewhere={},
-        held={"a": SimpleNamespace(part=fleet.part)},
-    )  # fmt: skip
-    told = Holder.unrecorded(ours)
+    returns = _returns(replica=SimpleNamespace(state=fleet.state), held={"a": SimpleNamespace(part=fleet.part)})
+    returns._remember_returned({"vm-1": "a", "vm-7": "a"})
+    told = returns.unrecorded()
     assert told == ["vm-1"]  # the record of vm-7 is gone
-    Holder.hear(ours, "n1", {}, told)
+    returns.hear("n1", {}, told)
     assert fleet.part.machines["vm-1"].standing is Standing.GONE
     assert fleet.part.machines["vm-0"].standing is Standing.KNOWN
     assert len(fleet.part.over) == 1  # its tasks may start elsewhere
