--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -40,11 +40,13 @@
 class Controller:
     """Wires the layers together and runs until it is killed."""
 
-    def __init__(self, platform: Platform, tuning: Tuning, network: Network | None = None) -> None:
+    def __init__(
+        self, platform: Platform, tuning: Tuning, network: Network | None = None, boot: str | None = None
+    ) -> None:  # fmt: skip
         self.platform, self.tuning = platform, tuning
         self.network = network = network or Network()
         deployment = platform.deployment
-        self.boot = secrets.token_hex(8)
+        self.boot = boot or secrets.token_hex(8)  # names this process; no other ever has the same
         external = platform.external
         limits = deployment.state
         self.store = Store(network.client(external.state, 24), limits.rps, limits.write_rps, deployment.count)
