--- a/spurarch/coordination/returns.py
+++ b/spurarch/coordination/returns.py
@@ -4,7 +4,7 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import curio
 
@@ -64,7 +64,7 @@
         held.cut = cut_off(held.part, workers, now, woke_at)
         self._note_cut(held, now)
         found = silent_machines(held.part, self.tuning, workers, self.reach.limit, now, held.cut, woke_at)
-        await self._start_return(held, found, now)
+        await self._start_return(held, found, now, self._return)
 
     async def watch_overdue(self, held: Held, now: float) -> None:
         """Returns machines whose cancelled tasks won't show that they left, whether or not the state service answers."""
@@ -73,11 +73,7 @@
             return
         held.next_overdue = now + RETURNS_S
         found = overdue_machines(part, self.deployment.workers, now, held.cut, self._pulse.woke_at)
-        machines = [m for m in found if m.return_after <= now][:RETURN_AT_ONCE]
-        if machines:
-            for machine in machines:
-                machine.returning = True
-            await curio.spawn(self._return_overdue, held, machines, daemon=True)
+        await self._start_return(held, found, now, self._return_overdue)
 
     async def watch_orphans(self, now: float) -> None:
         """The same for parts that nobody holds, in an outage: whoever lives may return such machines."""
@@ -135,14 +131,16 @@
         """Starts the return of machines without work; in line with placing, which might give them some."""
         if now >= held.next_returns and self._can.fresh(now) and not held.cut:
             held.next_returns = now + RETURNS_S
-            await self._start_return(held, idle_machines(held.part, self.view, self.tuning, now), now)
+            await self._start_return(held, idle_machines(held.part, self.view, self.tuning, now), now, self._return)
 
-    async def _start_return(self, held: Held, found: list[Machine], now: float) -> None:
+    async def _start_return(
+        self, held: Held, found: list[Machine], now: float, how: Callable[[Held, list[Machine]], Awaitable[None]]
+    ) -> None:  # fmt: skip
         machines = [m for m in found if m.return_after <= now][:RETURN_AT_ONCE]
         if machines:
             for machine in machines:
                 machine.returning = True
-            await curio.spawn(self._return, held, machines, daemon=True)
+            await curio.spawn(how, held, machines, daemon=True)
 
     def hear(self, node: str, strangers: dict[str, int], returned: list[str]) -> None:
         """A peer says which workers look for their holder there, and which machines it returned without a record."""
