--- a/spurarch/bookkeeping/limits.py
+++ b/spurarch/bookkeeping/limits.py
@@ -66,6 +66,26 @@
         self._level = min(self._level, 0.0)
 
 
+class AdaptiveFactor:
+    """The part of a published rate that is used: less after every refusal, and slowly more again.
+
+    A service may lower its rate without notice. How far is known in advance at best, and then the factor never falls
+    below `floor`: refusals come in bursts, and would else stop a caller that the lower rate still allows.
+    """
+
+    def __init__(self, floor: float, decrease: float, recovery: float) -> None:
+        self.value = 1.0
+        self._floor, self._decrease, self._recovery = floor, decrease, recovery
+
+    def refused(self) -> None:
+        """The service refused a call for its rate."""
+        self.value = max(self._floor, self.value * self._decrease)
+
+    def recover(self) -> None:
+        """Some time went by."""
+        self.value = min(1.0, self.value + self._recovery)
+
+
 def lend(node: str, shares: dict[str, float], used: dict[str, float], hungry: set[str]) -> float:
     """A caller's share once what the others leave unused is lent to those with more to do.
 
--- a/spurarch/bookkeeping/records.py
+++ b/spurarch/bookkeeping/records.py
@@ -21,6 +21,9 @@
 
 FREE, ASSIGNED, ENDED, RETURNED = 0, 1, 2, 3
 
+GANG_VERSION = 1  # the first version that starts gangs as a whole
+PROGRAM_VERSION = GANG_VERSION  # written into this process's member record
+
 
 class JobRecord(Struct):
     """A job that is not over. `at` is the wall clock of its submission and only orders jobs; `cancelled_at` that of its
@@ -68,13 +71,16 @@
 
 class MemberRecord(Struct):
     """A controller that lives. `unfit` are the zones whose workers it seems not to hear, while others do; `dark` those
-    of its parts whose workers nobody hears."""
+    of its parts whose workers nobody hears.
+
+    `version` says what the process can do, see `PROGRAM_VERSION`. Versions before gangs neither write nor know it."""
 
     node: str
     boot: str
     area: str
     unfit: list[str] = []
     dark: list[str] = []
+    version: int = 0
 
 
 class LeaderRecord(Struct):
@@ -122,6 +128,15 @@
     return None
 
 
+ENTRY_BYTES_MOST = 80  # of one task entry as JSON, with room for long names of machines
+ALLOT_TASKS_MOST = 100  # longer values cost every reader more than the changes that they save
+
+
+def tasks_per_record(value_bytes: int) -> int:
+    """How many task entries an allotment record may hold, so that its value stays within a limit on values."""
+    return max(1, min(ALLOT_TASKS_MOST, value_bytes // ENTRY_BYTES_MOST))
+
+
 TXN_BYTES = 56_000  # room for guards is left below the state service's 64 KiB
 _CHANGE_BYTES, _ENTRY_BYTES = 400, 60
 
@@ -149,6 +164,24 @@
         return AllotKey(zone, job, int(chunk))
 
 
+SPLIT_FROM = 1_000_000  # chunks that come from splitting are counted from here, apart from those that admission numbers
+SPLIT_STRIDE = 1000
+
+
+def split(where: AllotKey, record: AllotRecord, most_tasks: int) -> list[tuple[AllotKey, AllotRecord]]:
+    """The record, or what takes its place if it holds more tasks than may be written to one key.
+
+    The first piece keeps the key. All pieces go into one transaction, so no reader of any version ever sees a task twice
+    or not at all; records from before a limit was lowered are split that way when they are next written.
+    """
+    pieces = [record.tasks[at : at + most_tasks] for at in range(0, len(record.tasks), most_tasks)]
+    out = [(where, AllotRecord(pieces[0] if pieces else []))]
+    for number, tasks in enumerate(pieces[1:], start=1):
+        chunk = SPLIT_FROM + (where.chunk % SPLIT_FROM) * SPLIT_STRIDE + number
+        out.append((AllotKey(where.zone, where.job, chunk), AllotRecord(tasks)))
+    return out
+
+
 def machine_key(zone: str, name: str) -> str:
     """Key of a machine's record."""
     return f"{MACHINE}{zone}/{name}"
--- a/spurarch/bookkeeping/replica.py
+++ b/spurarch/bookkeeping/replica.py
@@ -74,6 +74,7 @@
         self.members: dict[str, MemberRecord] = {}
         self.machines: dict[str, dict[str, MachineRecord]] = defaultdict(dict)  # by zone
         self.leader: LeaderRecord | None = None
+        self.gangs = 0  # jobs whose tasks start together
         self.finals: OrderedDict[str, FinalRecord] = OrderedDict()
         self.revision = 0
         self._dropped: dict[str, int] = {}
@@ -142,6 +143,7 @@
 
     def _index(self, key: str, record: Record) -> None:
         if isinstance(record, JobRecord):
+            self.gangs += record.spec.kind == wire.GANG and record.spec.id not in self.jobs
             self.jobs[record.spec.id] = record
         elif isinstance(record, AdmissionRecord):
             self.admitted[key[len(records.ADMISSION) :]] = record
@@ -161,6 +163,7 @@
 
     def _unindex(self, key: str, record: Record) -> None:
         if isinstance(record, JobRecord):
+            self.gangs -= record.spec.kind == wire.GANG and record.spec.id in self.jobs
             self.jobs.pop(record.spec.id, None)
         elif isinstance(record, AdmissionRecord):
             self.admitted.pop(key[len(records.ADMISSION) :], None)
--- a/spurarch/bookkeeping/store.py
+++ b/spurarch/bookkeeping/store.py
@@ -10,8 +10,9 @@
 import curio
 import msgspec
 
-from spurarch.bookkeeping.limits import TokenBucket, Urgency
+from spurarch.bookkeeping.limits import AdaptiveFactor, TokenBucket, Urgency
 from spurarch.protocol import wire
+from spurarch.settings import StateLimits
 from spurarch.transport.http import NoAnswer
 from spurarch.transport.network import Requests
 
@@ -21,10 +22,16 @@
 RATE_SHARE = 0.95
 BACK_OFF = 0.7
 RECOVER = 0.05
+RECOVER_BELOW_PUBLISHED = 0.02  # slower where the rate is known to fall for good
 LOG_EVERY_S = 10.0
 HUNGRY = 0.4  # level of the bucket of changes below which more are wanted
 
 
+def _floor(published: float, lowest: float) -> float:
+    """The least part of a published rate that the service will always allow; 0 if nothing is known of a lower one."""
+    return lowest / published if lowest < published else 0.0
+
+
 class Verdict(enum.Enum):
     """How a transaction ended."""
 
@@ -61,14 +68,18 @@
     record, so the shares add up to one as long as the copies agree; a refusal lowers ours for a while.
     """
 
-    def __init__(self, client: Requests, rps: float, write_rps: float, controllers: int) -> None:
+    def __init__(self, client: Requests, limits: StateLimits, controllers: int) -> None:
         self._client = client
+        rps, write_rps = limits.rps, limits.write_rps
         self._rps, self._write_rps = rps, write_rps
         even = RATE_SHARE / controllers
         self._requests = TokenBucket(rps * even, rps * even)
         self._writes = TokenBucket(write_rps * even, write_rps * even)
         self._lines = {urgency: curio.Lock() for urgency in Urgency}
-        self._care = 1.0
+        recovery = RECOVER if limits.next is None else RECOVER_BELOW_PUBLISHED
+        self._request_factor = AdaptiveFactor(_floor(rps, limits.lowest_rps), BACK_OFF, recovery)
+        self._write_factor = AdaptiveFactor(_floor(write_rps, limits.lowest_write_rps), BACK_OFF, recovery)
+        self.writes_refused = 0  # transactions refused for a rate since this process started
         self._logged_at = 0.0
         self._recent, self._recent_at = 0.0, 0.0
         self._made: list[float] = [0, 0, 0, 0.0]  # requests, changes, refusals, longest wait since the last line of log
@@ -76,8 +87,10 @@
     def set_shares(self, requests: float, writes: float) -> None:
         """This controller's shares of the published rates."""
         now = time.monotonic()
-        self._care = min(1.0, self._care + RECOVER)
-        requests, writes = requests * RATE_SHARE * self._care, writes * RATE_SHARE * self._care
+        self._request_factor.recover()
+        self._write_factor.recover()
+        requests *= RATE_SHARE * self._request_factor.value
+        writes *= RATE_SHARE * self._write_factor.value
         self._requests.set_rate(now, self._rps * requests, self._rps * requests)
         self._writes.set_rate(now, self._write_rps * writes, self._write_rps * writes)
         if now - self._logged_at >= LOG_EVERY_S:
@@ -107,11 +120,19 @@
         """How much of a second's changes is left, as a share; small or negative while changes wait in line."""
         return self._writes.level(time.monotonic())
 
-    def _refused(self) -> None:
+    def note_peer_refused(self) -> None:
+        """Another controller's changes were refused: the rate is one for all."""
+        self._write_factor.refused()
+
+    def _refused(self, target: str) -> None:
         log.info("state service: over the rate")
         self._made[2] += 1
-        self._care *= BACK_OFF
+        self._request_factor.refused()
         self._requests.penalize(time.monotonic())
+        if target == wire.PATH_TXN:
+            # Nothing tells which of the two rates was exceeded.
+            self.writes_refused += 1
+            self._write_factor.refused()
 
     async def _call(
         self, method: str, target: str, body: bytes | None, wait_s: float = 0.0, urgency: Urgency = Urgency.STARTS
@@ -121,7 +142,7 @@
         self._made[0] += 1
         status, answer = await self._client.request(method, target, body, CALL_S + wait_s)
         if status == 429:
-            self._refused()
+            self._refused(target)
         return status, answer
 
     async def _read(self, target: str, wait_s: float = 0.0) -> tuple[int, bytes]:
--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -40,6 +40,7 @@
     service: bool
     job: str
     estimate_s: float
+    gang: bool = False  # all of them, or none, and in one zone
 
 
 @dataclass(slots=True)
@@ -90,6 +91,8 @@
         self._warm_cpus: dict[int, dict[int, float]] = {}
         self._nothing_coming: list[tuple[Need, int | None]] = []
         self._nobody_to_stop: list[tuple[Need, int | None]] = []
+        self._gangs_waiting: set[int] = set()  # zones where an admitted gang waits for room
+        self._gang_failed: list[tuple[Need, int]] = []  # gangs, by member and size, that fit in no zone
         arrays = [job for job in view.jobs.values() if not job.service]
         for job in arrays:
             if job.assigned and ahead_s > 0:
@@ -128,6 +131,8 @@
             hopeless = self._hopeless(job.need, zone)
             if not hopeless:
                 count -= sum(n for _, n in fill(job.need, self._roomy[zone], count, self._draft))
+            if count and job.gang:
+                self._gangs_waiting.add(zone)
             if count:
                 if not hopeless:
                     self._failed.append((job.need, zone))
@@ -185,16 +190,18 @@
         allowed = min(self._allowance(job), job.to_admit)
         if allowed <= 0:
             return
-        home = self._home(job) if job.one_zone else None
-        if job.one_zone and home is None:
-            self._short(plan, job, allowed)
-            return
-        if job.gang and not self._gang_fits(job, home, allowed):
-            self._short(plan, job, job.to_admit)
-            return
-        spread = job.spread_limit is not None or job.service
         self._late = 0
-        zones = self._one_by_one(job, home, allowed) if spread else self._as_group(job, home, allowed)
+        if job.gang:
+            zones = self._gang_zone(job) if allowed == job.to_admit else {}
+            if not zones and allowed < job.to_admit:
+                return  # the team's limit stands in the way, and machines would not help
+        else:
+            home = self._home(job) if job.one_zone else None
+            if job.one_zone and home is None:
+                self._short(plan, job, allowed)
+                return
+            spread = job.spread_limit is not None or job.service
+            zones = self._one_by_one(job, home, allowed) if spread else self._as_group(job, home, allowed)
         placed = sum(zones.values())
         self._short(plan, job, self._late + allowed - placed)
         self.cpus[job.team] = self.cpus.get(job.team, 0.0) + placed * job.need.cpus
@@ -220,17 +227,16 @@
             booked = fill(job.need, rooms, count, self._draft)
             for room, number in booked:
                 zones[room.zone] = zones.get(room.zone, 0) + number
-            if not job.gang:
-                self._drop_small_pieces(job, booked, zones, count)
+            self._drop_small_pieces(job, booked, zones, count)
             count -= sum(zones.values())
             if count:
                 self._failed.append((job.need, home))
                 self._drop_full()
-        if count and not job.gang:
+        if count:
             for zone, number in self._ahead_of_time(job, home, count).items():
                 zones[zone] = zones.get(zone, 0) + number
                 count -= number
-        if count and not job.gang and not self._hopeless(job.need, home, self._nothing_coming):
+        if count and not self._hopeless(job.need, home, self._nothing_coming):
             rooms = [r for zone, rs in self._coming.items() if home is None or zone == home for r in rs]
             for room, number in fill(job.need, rooms, count, self._draft):
                 zones[room.zone] = zones.get(room.zone, 0) + number
@@ -381,15 +387,53 @@
                 self._nothing_coming.append((job.need, zone))
         return None
 
-    def _gang_fits(self, job: JobView, home: int | None, allowed: int) -> bool:
-        """A gang starts once all its tasks fit in one part."""
-        if home is None or job.to_admit > allowed:
-            return False
-        return all_fit(job.need, self._roomy[home], job.to_admit)
+    # Gangs: all tasks in one zone, or none
+
+    def _gang_zone(self, job: JobView) -> dict[int, int]:
+        """The zone for all tasks of a gang that wait for admission, and how many they are; empty if there is none.
+
+        A gang that fits nowhere yet may go ahead of time to a zone where none waits: its owner keeps room for it there.
+        """
+        count = job.to_admit
+        if self._gang_hopeless(job.need, count):
+            return {}
+        held = [zone for zone, number in job.in_zone.items() if number > 0]
+        fits = {zone: rooms for zone in held or self._roomy if all_fit(job.need, rooms := self._roomy[zone], count)}
+        if fits:
+            zone = max(fits, key=lambda z: (self._warm_fits(job, fits[z]), sum(r.free_cpus for r in fits[z]), -z))
+            fill(job.need, self._roomy[zone], count, self._draft)
+            return {zone: count}
+        if held:
+            return {held[0]: count}  # the others wait there already
+        zone_ahead = self._gang_ahead(job, count)
+        if zone_ahead is None:
+            self._gang_failed.append((job.need, count))
+            return {}
+        self._gangs_waiting.add(zone_ahead)
+        self._queue[zone_ahead] += count * job.need.cpus
+        return {zone_ahead: count}
+
+    def _gang_hopeless(self, need: Need, count: int) -> bool:
+        """A gang no larger and no choosier found no zone in this round."""
+        return any(count >= failed and need.asks_no_less(other) for other, failed in self._gang_failed)
+
+    @staticmethod
+    def _warm_fits(job: JobView, rooms: list[Room]) -> bool:
+        """The gang could start without a fetch: the slowest machine sets the pace for all."""
+        return all_fit(job.need, [room for room in rooms if job.need.image in room.images], job.to_admit)
+
+    def _gang_ahead(self, job: JobView, count: int) -> int | None:
+        """The zone that frees room soonest for its queue, among those where no gang waits yet."""
+        able = [
+            zone for zone in self._zones_for(job.need)
+            if zone not in self._gangs_waiting and self._ahead.get(zone, 0.0) > 0
+            and sum(room.slots_without_arrays(job.need, count) for room in self.rooms if room.zone == zone) >= count
+        ]  # fmt: skip
+        return max(able, key=lambda zone: (self._ahead[zone] - self._queue[zone], -zone), default=None)
 
     def _short(self, plan: Plan, job: JobView, count: int) -> None:
         if count > 0:
-            plan.shortages.append(Shortage(job.need, count, job.due, job.service, job.ref, job.estimate_s))
+            plan.shortages.append(Shortage(job.need, count, job.due, job.service, job.ref, job.estimate_s, job.gang))
 
     @staticmethod
     def _by_preemption(job: JobView, candidates: list[Room]) -> Room | None:
@@ -409,7 +453,7 @@
             for room in rooms:
                 if room.fits(job.need):
                     room_for[zone] += room.slots(job.need, job.tasks)
-        if not room_for and not job.gang:
+        if not room_for:
             return max(self._zones_for(job.need), key=lambda zone: self._ahead[zone] - self._queue[zone], default=None)
         return max(room_for, key=lambda zone: room_for[zone], default=None)
 
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -10,6 +10,7 @@
 import curio
 import msgspec
 
+from spurarch.bookkeeping import records
 from spurarch.bookkeeping.cloud import Cloud
 from spurarch.bookkeeping.limits import lend
 from spurarch.bookkeeping.replica import Replica
@@ -41,7 +42,8 @@
     """Wires the layers together and runs until it is killed."""
 
     def __init__(
-        self, platform: Platform, tuning: Tuning, network: Network | None = None, boot: str | None = None
+        self, platform: Platform, tuning: Tuning, network: Network | None = None, boot: str | None = None,
+        version: int = records.PROGRAM_VERSION,
     ) -> None:  # fmt: skip
         self.platform, self.tuning = platform, tuning
         self.network = network = network or Network()
@@ -49,16 +51,16 @@
         self.boot = boot or secrets.token_hex(8)  # names this process; no other ever has the same
         external = platform.external
         limits = deployment.state
-        self.store = Store(network.client(external.state, 24), limits.rps, limits.write_rps, deployment.count)
+        self.store = Store(network.client(external.state, 24), limits, deployment.count)
         self.cloud = Cloud(network.client(external.cloud, 6), deployment.cloud.rps, deployment.count)
         self.replica = Replica(self.store)
         self.membership = Membership(
-            self.replica, platform.node, self.boot, platform.area, deployment.zones, tuning.member_ttl_s
+            self.replica, platform.node, self.boot, platform.area, deployment.zones, tuning.member_ttl_s, version
         )
         workers = deployment.workers
         self.reach = Reach([p.node for p in platform.peers], workers.cancel_s, workers.lease_s)
         self.pulse = Pulse()
-        self.view = FleetView(self.replica.state, deployment.teams, tuning.size_weight)
+        self.view = FleetView(self.replica.state, deployment.teams, tuning.size_weight, deployment.objectives)
         self.holder = Holder(
             self.replica, self.membership, self.view, self.cloud, self.reach, self.pulse, deployment, tuning, network
         )  # fmt: skip
@@ -66,7 +68,8 @@
             self.replica, self.membership, self.view, self.cloud, self.pulse, deployment, tuning, self.boot, self._wake
         )
         self.users = Users(
-            self.replica, self.view, deployment.teams, deployment.zones, self._wake, self._tell_cancelled
+            self.replica, self.view, deployment, [platform.node, *(p.node for p in platform.peers)],
+            self._wake, self._tell_cancelled,
         )  # fmt: skip
         self._began = time.monotonic()
         self._peers = {p.node: network.back_client(p.address) for p in platform.peers}
@@ -178,6 +181,7 @@
         """Answers a peer."""
         hint = hints.decode(frame)
         if isinstance(hint, hints.Load):
+            self._note_refusals(hint)
             self._loads[hint.node] = hint, time.monotonic()
             self.holder.returns.hear(hint.node, dict(hint.strangers), hint.returned)
             return hints.encode(hints.Wake())
@@ -190,6 +194,13 @@
             await self.replica.ring()
         return hints.encode(hints.Wake())
 
+    def _note_refusals(self, load: hints.Load) -> None:
+        """The state service has lowered its rate if a peer's changes are refused; only where that is announced."""
+        before = self._loads.get(load.node)
+        announced = self.platform.deployment.state.next is not None
+        if announced and before is not None and load.writes_refused > before[0].writes_refused:
+            self.store.note_peer_refused()
+
     async def _pong(self) -> hints.Pong:
         """What this controller knows, whether or not it reaches the state service: a peer may go on by it."""
         reaches = self.replica.loaded and await self.replica.sync(0.8)
@@ -240,7 +251,10 @@
             now = time.monotonic()
             recent = {n: load for n, (load, at) in self._loads.items() if now - at < 3 * SHARE_S}
             total = self.platform.deployment.state.write_rps
-            mine = hints.Load(node, *self.store.recent_writes(), self.holder.strangers(now), self.holder.returns.unrecorded())
+            mine = hints.Load(
+                node, *self.store.recent_writes(), self.holder.strangers(now), self.holder.returns.unrecorded(),
+                self.store.writes_refused,
+            )  # fmt: skip
             self.holder.returns.heard_elsewhere = {n: dict(load.strangers) for n, load in recent.items()}
             recent[node] = mine
             writes = lend(
--- a/spurarch/coordination/fit.py
+++ b/spurarch/coordination/fit.py
@@ -123,6 +123,17 @@
             and self.allows(need)
         )
 
+    def slots_without_arrays(self, need: Need, most: int) -> int:
+        """How many such tasks would fit once all but the most urgent work, which runs on and on, has ended."""
+        others = self.by_priority[1:]
+        emptied = replace(
+            self,
+            free_cpus=self.free_cpus + sum(used[0] for used in others),
+            free_gpus=self.free_gpus + sum(used[1] for used in others),
+            free_memory_gb=self.free_memory_gb + sum(used[2] for used in others),
+        )
+        return emptied.slots(need, most) if self.allows(need) else 0
+
     def slots(self, need: Need, most: int) -> int:
         """How many such tasks fit, `most` at most."""
         count = float(most)
@@ -204,3 +215,23 @@
     """
     able = (room for room in rooms if room.could_hold(need))
     return max(able, key=lambda room: (room.free_cpus, -room.machine), default=None)
+
+
+def gathering_rooms(need: Need, rooms: Iterable[Room], count: int) -> list[Room]:
+    """Machines to keep free of newcomers so that room for `count` tasks gathers on them; none if it never would.
+
+    Those with the image come first, then those with the most room already: fewer tasks have to end there.
+    """
+    able = sorted(
+        (room for room in rooms if room.allows(need)),
+        key=lambda room: (need.image not in room.images, -room.slots(need, count), -room.cpus, room.machine),
+    )
+    out: list[Room] = []
+    for room in able:
+        slots = room.slots_without_arrays(need, count)
+        if slots:
+            out.append(room)
+            count -= slots
+        if count <= 0:
+            return out
+    return []
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import ceil
 from random import Random
 
 import curio
@@ -21,7 +22,7 @@
 from spurarch.coordination.held import Held
 from spurarch.coordination.machine import Machine, Standing, TaskRun
 from spurarch.coordination.membership import Membership
-from spurarch.coordination.part import Part, merged
+from spurarch.coordination.part import Part, is_live_gang, merged, save_grace_s
 from spurarch.coordination.pulse import Pulse
 from spurarch.coordination.reach import Reach
 from spurarch.coordination.refining import refine
@@ -78,6 +79,8 @@
         self._network = network
         self.replica, self.membership, self.view = replica, membership, view
         self.reach, self.deployment, self.tuning = reach, deployment, tuning
+        self._record_tasks = records.tasks_per_record(deployment.state.value_bytes)
+        self._most_changes = deployment.state.transaction_changes
         self.held: dict[str, Held] = {}
         self._can = Entitlement(replica, membership, reach, pulse, deployment.workers.cancel_s)
         self.returns = Returns(replica, membership, view, cloud, self._can, pulse, deployment, tuning, self.held)
@@ -306,7 +309,7 @@
 
     def _grace(self, run: TaskRun) -> float:
         job = self.replica.state.jobs.get(run.where.job)
-        return job.spec.save_s * 1.5 + 1.0 if job is not None and job.spec.checkpoint_s > 0 else 0.0
+        return save_grace_s(job.spec) if job is not None else 0.0
 
     # Records
 
@@ -347,7 +350,7 @@
             bulk, now = groups[Urgency.STARTS], time.monotonic()
             if self.replica.store.ready(Urgency.ENDS) or now - held.cleaned_at > CLEAN_S:
                 held.cleaned_at = now
-                bulk = groups[Urgency.ENDS][: self.deployment.state.txn_ops] + bulk
+                bulk = groups[Urgency.ENDS][: self._most_changes] + bulk
             held.placer.pending = {c.where: c.entries or {} for c in bulk if c.where is not None}
             if held.placer.pending:
                 await curio.spawn(self._commit_bulk, held, bulk, daemon=True)
@@ -379,46 +382,56 @@
                 continue
             job = self.view.jobs.get(where.job)
             starting = any(e.state == records.ASSIGNED for e in entries.values())
-            urgency = Urgency.REPLICAS if job is not None and job.service else Urgency.STARTS
+            # All starts of a gang are one change as a rule, and its machines wait for the last of them.
+            urgency = Urgency.REPLICAS if job is not None and (job.service or job.gang) else Urgency.STARTS
             out[urgency].append(_Change(None, where, entries, starting))
         return out
 
     def _batches(self, zone: str, items: list[_Change]) -> list[list[_Change]]:
         out: list[list[_Change]] = []
-        size = 0
+        size = changes = 0
         allots = self.replica.state.zone_allots[zone]
         for item in items:
             record = allots.get(item.where) if item.where is not None and item.write is None else None
             length = records.change_bytes(record)
-            if not out or len(out[-1]) >= self.deployment.state.txn_ops or size + length > records.TXN_BYTES:
+            pieces = max(1, ceil(len(record.tasks) / self._record_tasks)) if record is not None else 1
+            if not out or changes + pieces > self._most_changes or size + length > records.TXN_BYTES:
                 out.append([])
-                size = 0
+                size = changes = 0
             out[-1].append(item)
             size += length
+            changes += pieces
         return out
 
-    def _write_of(self, part: Part, change: _Change) -> Write | None:
-        """The change as it applies now. Another one's transaction may have come between its planning and this moment:
+    def _writes_of(self, part: Part, change: _Change) -> list[Write]:
+        """The change as it applies now, or nothing. Another one's transaction may have come between its planning and this moment:
         writing back an allotment as it was then would bring back tasks that the leader has moved since."""
         if change.where is None:
-            return change.write
+            return [change.write] if change.write is not None else []
         record = self.replica.state.zone_allots[part.zone].get(change.where)
         if record is None:
-            return None
+            return []
         if change.entries is None:
-            return change.write if change.where in part.left_over(self.replica.state) else None
-        new = merged(record, change.entries)
-        return Write(str(change.where), new) if new is not None else None
+            over = change.where in part.left_over(self.replica.state)
+            return [change.write] if change.write is not None and over else []
+        new = merged(record, change.entries, is_live_gang(self.replica.state, change.where.job))
+        if new is None:
+            return []
+        return [Write(str(where), piece) for where, piece in records.split(change.where, new, self._record_tasks)]
 
     async def _commit_batch(self, part: Part, batch: list[_Change], urgency: Urgency) -> None:
         if not self._can.owns(part):
             return
-        pairs = [(change, write) for change in batch if (write := self._write_of(part, change)) is not None]
-        if not pairs:
-            return
+        writes: list[Write] = []
         guards = {records.PART + part.zone}
-        guards.update(records.JOB + c.where.job for c, _ in pairs if c.starting and c.where is not None)
-        outcome = await self.replica.commit([write for _, write in pairs], guards, urgency=urgency)
+        for change in batch:
+            made = self._writes_of(part, change)
+            writes += made
+            if made and change.starting and change.where is not None:
+                guards.add(records.JOB + change.where.job)
+        if not writes:
+            return
+        outcome = await self.replica.commit(writes, guards, urgency=urgency)
         if outcome.verdict is Verdict.INVALID and len(batch) > 1:
             # One change that the service will not take must not keep the others from ever being made.
             for change in batch:
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -5,6 +5,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
+from math import ceil
 
 import curio
 
@@ -28,8 +29,6 @@
 TICK_S = 0.25
 LIST_EVERY_S = 5.0
 TYPES_EVERY_S = 60.0
-CHUNK_BYTES = 80
-CHUNK_MOST = 100
 NEVER_UP_FACTOR = 4.0
 NEVER_UP_LEAST_S = 90.0
 ROUND_PAUSE_S = 0.1
@@ -71,7 +70,9 @@
         self._dirty = replica.state.subscribe()
         self._ending: dict[str, None] = {}
         self._next_full = 0.0
-        self._chunk = min(CHUNK_MOST, int(deployment.state.value_kb * 1024 / CHUNK_BYTES))
+        self._chunk = records.tasks_per_record(deployment.state.value_bytes)
+        self._most_changes = deployment.state.transaction_changes
+        self._most_guards = deployment.state.transaction_guards - self._most_changes - 1  # beside written keys and leader
 
     async def run(self) -> None:
         """Rounds of the leader: on news, and every now and then."""
@@ -116,12 +117,12 @@
         # A share of the processor at most, however much there is to admit.
         self._next_full = time.monotonic() + max(ROUND_PAUSE_S, ROUND_REST * (time.monotonic() - now))
         self._note_shortages(plan)
-        replicas = [grant for grant in plan.grants if self.view.jobs[grant.job].service]
-        arrays = [grant for grant in plan.grants if not self.view.jobs[grant.job].service]
+        urgent = [grant for grant in plan.grants if not self.view.jobs[grant.job].array]
+        arrays = [grant for grant in plan.grants if self.view.jobs[grant.job].array]
         planned = {grant.job: self._as_planned(grant.job) for grant in plan.grants}
-        await self._admit(replicas, planned, Urgency.REPLICAS)
+        await self._admit(urgent, planned, Urgency.REPLICAS)
         if arrays and not self._admitting:
-            # They may stand in line for long, and replicas must not wait with them.
+            # They may stand in line for long, and replicas and gangs must not wait with them.
             self._admitting = True
             await curio.spawn(self._admit_arrays, arrays, planned, daemon=True)
 
@@ -165,7 +166,7 @@
                 continue
             writes = self._admission_writes(ref, mine)
             length = sum(records.change_bytes(w.record) for w in writes)
-            if batch and (len(batch) + len(writes) > self.deployment.state.txn_ops or size + length > records.TXN_BYTES):
+            if batch and (len(batch) + len(writes) > self._most_changes or size + length > records.TXN_BYTES):
                 await self._commit(batch, jobs, urgency)
                 batch, jobs, size = [], [], 0
                 if not live(self.replica.state, ref) or not self._stands(ref, mine, planned[ref]):
@@ -195,7 +196,7 @@
         if known is None and there:
             known = AdmissionRecord(state.jobs[ref].spec.tasks, max(where.chunk for where in there) + 1)
         chunks, first = (known.chunks, known.next) if known is not None else (0, 0)
-        most = self.deployment.state.txn_ops - 2
+        most = self._most_changes - 2
         allots: list[tuple[AllotKey, list[TaskEntry]]] = []
         moved: dict[AllotKey, set[int]] = {}
         fresh: set[int] = set()
@@ -204,7 +205,7 @@
             for at in range(0, len(grant.entries), self._chunk):
                 part = grant.entries[at : at + self._chunk]
                 sources = {s for s, indices in grant.moved.items() if any(e.index in indices for e in part)}
-                if len(allots) + 1 + len(sources | set(moved)) > most:
+                if len(allots) + 1 + sum(map(self._pieces, sources | set(moved))) > most:
                     break
                 where = AllotKey(self.view.zones.name(grant.zone), ref, chunks)
                 chunks += 1
@@ -223,12 +224,19 @@
             return writes
         return [Write(records.ADMISSION + ref, AdmissionRecord(first, chunks)), *writes, *self._shrunk(moved)]
 
+    def _pieces(self, source: AllotKey) -> int:
+        """How many changes it takes at most to write a record again."""
+        return max(1, ceil(len(self.replica.state.allots[source.job][source].tasks) / self._chunk))
+
     def _shrunk(self, moved: dict[AllotKey, set[int]]) -> list[Write]:
-        out = []
+        out: list[Write] = []
         for source, indices in moved.items():
             record = self.replica.state.allots[source.job][source]
             left = [e for e in record.tasks if e.index not in indices]
-            out.append(Write(str(source), AllotRecord(left) if left else None))
+            if left:
+                out += [Write(str(where), part) for where, part in records.split(source, AllotRecord(left), self._chunk)]
+            else:
+                out.append(Write(str(source), None))
         return out
 
     async def _commit(self, writes: list[Write], jobs: list[str], urgency: Urgency) -> None:
@@ -279,7 +287,8 @@
                 del self._ending[ref]
                 continue
             writes, more = self._final_writes(ref, final)
-            if batch and (len(batch) + len(writes) > self.deployment.state.txn_ops or len(guards) + len(more) > 60):
+            too_many = len(batch) + len(writes) > self._most_changes or len(guards) + len(more) > self._most_guards
+            if batch and too_many:
                 await self._commit_ends(batch, guards, refs)
                 batch, guards, refs = [], set(), []
                 final = self._final(ref)
@@ -313,13 +322,16 @@
             return None if allots else FinalRecord(wire.CANCELLED, record.spec.tasks)
         self.view.update()
         job = self.view.jobs.get(ref)
-        if job is None or job.ended < record.spec.tasks:
+        if job is None or job.ended < (1 if job.gang else record.spec.tasks):
             return None
-        ended = sum(e.state == records.ENDED for a in allots.values() for e in a.tasks)
+        entries = [entry for allot in allots.values() for entry in allot.tasks]
+        ended = sum(entry.state == records.ENDED for entry in entries)
+        if job.gang and ended and not any(entry.state == records.ASSIGNED for entry in entries):
+            return FinalRecord(wire.DONE, record.spec.tasks)  # members complete together, also those that were free
         return FinalRecord(wire.DONE, record.spec.tasks) if ended >= record.spec.tasks else None
 
     def _final_writes(self, ref: str, final: FinalRecord) -> tuple[list[Write], set[str]]:
-        state, most = self.replica.state, self.deployment.state.txn_ops
+        state, most = self.replica.state, self._most_changes
         writes = [Write(records.FINAL + ref, final), Write(records.JOB + ref, None)]
         if ref in state.admitted:
             writes.append(Write(records.ADMISSION + ref, None))
@@ -327,7 +339,7 @@
         rest = [str(key) for key in state.allots.get(ref, {})]
         if self.replica.store.ready(Urgency.ENDS):
             writes += [Write(key, None) for key in rest[: most - len(writes)]]
-        return writes, set(rest[: 3 * most])
+        return writes, set(rest[: self._most_guards])
 
     # The cloud
 
--- a/spurarch/coordination/machine.py
+++ b/spurarch/coordination/machine.py
@@ -1,6 +1,6 @@
 """The life of a task on a machine, and of a machine, as the holder of a part sees them. No I/O.
 
-    ASSIGNED -> STARTING -> FETCHING -> RUNNING -> (STOPPING ->) EXITED -> forgotten
+    ASSIGNED -> STARTING -> FETCHING -> (GATHERING ->) RUNNING -> (STOPPING ->) EXITED -> forgotten
         any of them -> GONE once it is proved that the machine no longer has the task
 
 `TaskRun.advance` makes every change of a task's phase and `Machine.advance` every change of a machine's.
@@ -24,16 +24,19 @@
     ASSIGNED = 0  # recorded; no command has been sent by this process
     STARTING = 1  # a start command was sent
     FETCHING = 2
-    RUNNING = 3
-    STOPPING = 4
-    EXITED = 5  # reported as ended; the end is not recorded yet
-    GONE = 6  # proved to be off its machine; that is not recorded yet
+    GATHERING = 3  # a gang's task that waits for the others of its attempt
+    RUNNING = 4
+    STOPPING = 5
+    EXITED = 6  # reported as ended; the end is not recorded yet
+    GONE = 7  # proved to be off its machine; that is not recorded yet
 
 
+_SEEN = {Phase.FETCHING, Phase.GATHERING, Phase.RUNNING, Phase.STOPPING, Phase.EXITED, Phase.GONE}
 _NEXT = {
-    Phase.ASSIGNED: {Phase.STARTING, Phase.FETCHING, Phase.RUNNING, Phase.STOPPING, Phase.EXITED, Phase.GONE},
-    Phase.STARTING: {Phase.FETCHING, Phase.RUNNING, Phase.STOPPING, Phase.EXITED, Phase.GONE},
-    Phase.FETCHING: {Phase.RUNNING, Phase.STOPPING, Phase.EXITED, Phase.GONE},
+    Phase.ASSIGNED: {Phase.STARTING} | _SEEN,
+    Phase.STARTING: _SEEN,
+    Phase.FETCHING: {Phase.GATHERING, Phase.RUNNING, Phase.STOPPING, Phase.EXITED, Phase.GONE},
+    Phase.GATHERING: {Phase.RUNNING, Phase.STOPPING, Phase.EXITED, Phase.GONE},
     Phase.RUNNING: {Phase.FETCHING, Phase.STOPPING, Phase.EXITED, Phase.GONE},
     Phase.STOPPING: {Phase.EXITED, Phase.GONE},
     Phase.EXITED: set(),
@@ -55,6 +58,7 @@
     why: str | None = None
     stop: bool = False  # it has to leave its machine
     grace_s: float = 0.0
+    stop_heard_at: float | None = None  # when the worker confirmed that it was told to save and leave
     sent_seq: int = -1  # the start was handed to the worker no later than its message with this number
     running_at: float | None = None
     over_at: float = 0.0  # when its end was proved
@@ -174,12 +178,15 @@
         )
 
 
-def observed_phase(task: wire.TaskReport) -> Phase:
-    """The phase that a report shows."""
-    if task.state == wire.EXITED:
-        return Phase.EXITED
-    if task.state == wire.SAVING:
-        return Phase.STOPPING
-    if task.state in (wire.FETCHING, wire.GATHERING):
-        return Phase.FETCHING
-    return Phase.RUNNING
+_OBSERVED = {
+    wire.FETCHING: Phase.FETCHING,
+    wire.GATHERING: Phase.GATHERING,
+    wire.RUNNING: Phase.RUNNING,
+    wire.SAVING: Phase.STOPPING,
+    wire.EXITED: Phase.EXITED,
+}
+
+
+def observed_phase(task: wire.TaskReport) -> Phase | None:
+    """The phase that a report shows, or None for a state that this version does not know."""
+    return _OBSERVED.get(task.state)
--- a/spurarch/coordination/membership.py
+++ b/spurarch/coordination/membership.py
@@ -23,16 +23,30 @@
 UNFIT_S = 60.0
 
 
+def starts_gangs(member: MemberRecord) -> bool:
+    """The member's version starts gangs as a whole; earlier ones would start their tasks one by one."""
+    return member.version >= records.GANG_VERSION
+
+
+def gangs_supported(members: dict[str, MemberRecord]) -> bool:
+    """Every controller that lives starts gangs as a whole, so whichever leads or owns a partition next will."""
+    return bool(members) and all(map(starts_gangs, members.values()))
+
+
 def assign_parts(
-    zones: list[str], parts: dict[str, PartRecord], members: dict[str, MemberRecord], settled: set[str]
-) -> dict[str, str]:
+    zones: list[str], parts: dict[str, PartRecord], members: dict[str, MemberRecord], settled: set[str],
+    gangs: bool = False,
+) -> dict[str, str]:  # fmt: skip
     """Parts that should change hands, and to whom.
 
     A part is a whole zone. It goes to a controller in its own zone if there is one, so that a zone cut off from the
     others keeps working; else to the living controller with the fewest parts. `settled` are members that have lived
     long enough to take a part from a holder that is alive. A member that seems not to hear a zone's workers is passed
-    over for that zone, and gives it up, as long as there is another.
+    over for that zone, and gives it up, as long as there is another. While `gangs` are on record, members of a version
+    that does not start them as a whole own nothing.
     """
+    if gangs:
+        members = {node: member for node, member in members.items() if starts_gangs(member)}
     load = dict.fromkeys(members, 0)
     for zone in zones:
         part = parts.get(zone)
@@ -74,10 +88,11 @@
     """Keeps this controller a member, elects a leader and claims the parts given to this controller."""
 
     def __init__(
-        self, replica: Replica, node: str, boot: str, area: str, zones: list[str], ttl_s: float
+        self, replica: Replica, node: str, boot: str, area: str, zones: list[str], ttl_s: float,
+        version: int = records.PROGRAM_VERSION,
     ) -> None:  # fmt: skip
         self.replica, self.node, self.boot, self.area = replica, node, boot, area
-        self.zones, self.ttl_s = zones, ttl_s
+        self.zones, self.ttl_s, self.version = zones, ttl_s, version
         self._bell = replica.listen()
         self._lease: int | None = None
         self._unfit: dict[str, float] = {}
@@ -143,7 +158,7 @@
         now = time.monotonic()
         unfit = sorted(zone for zone, until in self._unfit.items() if until > now)
         dark = sorted(zone for zone in self._dark if self.holds(zone) is not None)
-        record = MemberRecord(self.node, self.boot, self.area, unfit, dark)
+        record = MemberRecord(self.node, self.boot, self.area, unfit, dark, self.version)
         if self._lease is not None and member != record:
             outcome = await self.replica.commit(
                 [Write(records.MEMBER + self.node, record, self._lease)], give_up_s=2.0, urgency=Urgency.MEMBERSHIP
@@ -156,7 +171,7 @@
         member = self.replica.state.members.get(self.node)
         if self._lease is None or member is None or member.boot != self.boot:
             return
-        if leader is None or (leader.node == self.node and leader.boot != self.boot):
+        if leader is None or (leader.node == self.node and leader.boot != self.boot) or self._outdated(leader):
             outcome = await self.replica.commit(
                 [Write(records.LEADER, LeaderRecord(self.node, self.boot), self._lease)], give_up_s=2.0, urgency=Urgency.MEMBERSHIP
             )
@@ -165,13 +180,24 @@
             elif outcome.verdict is Verdict.NO_LEASE:
                 self._lease = None
 
+    def _gangs(self) -> bool:
+        """There are gangs on record, and this version knows what that means."""
+        return self.version >= records.GANG_VERSION and self.replica.state.gangs > 0
+
+    def _outdated(self, leader: LeaderRecord) -> bool:
+        """The leader is of a version that would admit the tasks of a gang one by one, and there are gangs."""
+        member = self.replica.state.members.get(leader.node)
+        return self._gangs() and member is not None and not starts_gangs(member)
+
     async def _assign(self) -> None:
         state, now = self.replica.state, time.monotonic()
         for node, member in state.members.items():
             if self._seen.get(node, ("", 0.0))[0] != member.boot:
                 self._seen[node] = member.boot, now
         settled = {n for n, (_, at) in self._seen.items() if n in state.members and now - at >= HOME_AFTER_S}
-        for zone, node in assign_parts(self.zones, state.parts, state.members, settled).items():
+        for zone, node in assign_parts(
+            self.zones, state.parts, state.members, settled, self._gangs()
+        ).items():
             part = state.parts.get(zone)
             record = PartRecord(node, part.epoch + 1 if part else 1)
             log.info("part %s goes to %s (epoch %d)", zone, node, record.epoch)
--- a/spurarch/coordination/part.py
+++ b/spurarch/coordination/part.py
@@ -13,6 +13,7 @@
 from spurarch.bookkeeping import records
 from spurarch.bookkeeping.records import AllotKey, AllotRecord, JobRecord, MachineRecord, TaskEntry
 from spurarch.bookkeeping.replica import State
+from spurarch.coordination.gang import Gangs, GangState
 from spurarch.coordination.machine import Machine, Phase, Standing, TaskRun, observed_phase
 from spurarch.protocol import wire
 
@@ -27,6 +28,9 @@
 FAULT_PAUSE_S = 30.0
 MACHINES_BLAMED = 2
 REFUSAL_PAUSE_S = 2.0
+NOTICE_MARGIN_S = 1.0  # commands and reports take that long
+SAVE_FACTOR, SAVE_MARGIN_S = 1.5, 1.0  # the time that a task is given to save, from what its owner says it takes
+SAVE_SLACK_S = 10.0  # beyond its grace, before a task that was told to save is told once more
 
 
 @dataclass(slots=True)
@@ -74,6 +78,8 @@
         self._counter = 0
         self._returned: dict[str, None] = {}
         self._odd: set[str] = set()
+        self._unknown_states: set[str] = set()
+        self.gangs = Gangs()
 
     # Tokens
 
@@ -109,10 +115,12 @@
                 ref = key[len(records.JOB) :]
                 if not live(state, ref):
                     self._job_over(ref)
+        self._settle_gangs()
 
     def _job_over(self, ref: str) -> None:
         """The job ended or was cancelled: its tasks leave, and its allotments go."""
         self.trouble.pop(ref, None)
+        self.gangs.drop(ref)
         for where in self._by_job.get(ref, ()):
             self.stale.add(where)
             for run in self._by_allot.get(where, {}).values():
@@ -138,14 +146,20 @@
 
     def _take_allot(self, state: State, where: AllotKey, record: AllotRecord | None, now: float) -> None:
         mine = self._by_allot.get(where, {})
+        if is_live_gang(state, where.job):
+            spec = state.jobs[where.job].spec
+            gang = self.gangs.track(where.job, spec.tasks, save_grace_s(spec))
+            gang.record(where, record.tasks if record is not None else None)
         if record is None:
             self.free.pop(where, None)
             for run in list(mine.values()):
-                self._forget_run(run)
+                if not self._rehome(state, run):
+                    self._forget_run(run)
             self._by_allot.pop(where, None)
             self._by_job[where.job].discard(where)
             if not self._by_job[where.job]:
                 del self._by_job[where.job]
+                self.gangs.drop(where.job)
             return
         if where not in self._by_allot:
             mine = self._by_allot[where] = {}
@@ -156,6 +170,8 @@
         assigned = {e.index: e for e in record.tasks if e.state == records.ASSIGNED}
         for index, run in list(mine.items()):
             entry = assigned.get(index)
+            if entry is None and self._rehome(state, run):
+                continue
             if entry is None or (entry.machine, entry.attempt) != (run.machine, run.attempt):
                 self._forget_run(run)
         for index, entry in assigned.items():
@@ -173,6 +189,9 @@
             machine = self._new_machine(entry.machine, "", False, "", willing=False)
         run = TaskRun(where, entry.index, entry.attempt, entry.machine, entry.session, now)
         self._by_allot[where][entry.index] = self.runs[run.key] = machine.runs[run.key] = run
+        gang = self.gangs.get(where.job)
+        if gang is not None:
+            gang.members[run.index] = run
         machine.idle_since = None
         self.attention[machine.name] = None
         if run.session < machine.session or (machine.standing is Standing.LOST and run.session <= machine.lost_session):
@@ -182,9 +201,35 @@
         if not wanted:
             self._call_off(run)
 
+    def _rehome(self, state: State, run: TaskRun) -> bool:
+        """Follows a task whose entry went to another record of the same job, as when a record is split. Its state is
+        kept: forgetting an end that is not recorded yet would have the task run once more."""
+        for where, record in state.allots.get(run.where.job, {}).items():
+            if where.zone != self.zone or where == run.where:
+                continue
+            for entry in record.tasks:
+                same = (entry.index, entry.machine, entry.attempt) == (run.index, run.machine, run.attempt)
+                if same and entry.state == records.ASSIGNED:
+                    self._move_run(run, where)
+                    return True
+        return False
+
+    def _move_run(self, run: TaskRun, where: AllotKey) -> None:
+        for table in (self._by_allot, self.over):
+            if table.get(run.where, {}).pop(run.index, None) is run:
+                table.setdefault(where, {})[run.index] = run
+        if not self.over.get(run.where, True):
+            del self.over[run.where]
+        self._by_job[where.job].add(where)
+        run.where = where
+
     def _forget_run(self, run: TaskRun) -> None:
         if self.runs.get(run.key) is run:
             del self.runs[run.key]
+        gang = self.gangs.get(run.where.job)
+        if gang is not None and gang.members.get(run.index) is run:
+            del gang.members[run.index]
+            self.gangs.note(gang.job)
         for table in (self._by_allot, self.over):
             held = table.get(run.where)
             if held is not None and held.get(run.index) is run:
@@ -205,8 +250,22 @@
         if phase in (Phase.EXITED, Phase.GONE):
             run.over_at = self.now
             self.over[run.where][run.index] = run
+        self.gangs.note(run.where.job)
         return True
 
+    def _settle_gangs(self) -> None:
+        """Members of a gang leave together: whatever happened to one of them decides for all."""
+        for run, grace_s in self.gangs.settle():
+            if self._hears_us(run.machine):
+                self._stop_one(run, grace_s)
+            else:
+                # The stop may come too late for the others, so that nothing is saved: they need not wait for it.
+                self._stop_one(run, 0.0)
+
+    def _hears_us(self, name: str) -> bool:
+        machine = self.machines.get(name)
+        return machine is not None and machine.standing is Standing.KNOWN and not machine.deaf
+
     # Reports
 
     def on_report(self, report: wire.Report, now: float, commanding: bool = True) -> list[wire.Command] | None:
@@ -236,6 +295,7 @@
         if not self.ready:
             return self._called_off(report)
         self._prove_absent(machine, report)
+        self._settle_gangs()
         commands = self.commands(machine, report)
         for run in machine.runs.values():
             if run.phase is Phase.STARTING:
@@ -302,27 +362,48 @@
         if machine.advance(Standing.KNOWN):
             self.grew_at = now
         machine.notice_until = None if report.notice_s is None else now + report.notice_s
+        if report.notice_s is not None:
+            self._save_gangs(machine, report.notice_s)
         machine.reported = len(report.tasks)
         for task in report.tasks:
             self._observe_task(machine, task, now)
         if machine.runs:
             self.attention[machine.name] = None
 
+    def _save_gangs(self, machine: Machine, notice_s: float) -> None:
+        """The machine will be taken away: gangs on it save what they have while all of their members still can."""
+        for run in machine.runs.values():
+            gang = self.gangs.get(run.where.job)
+            if gang is None or run.stop or gang.state is not GangState.RUNNING:
+                continue
+            if 0 < gang.save_grace_s < notice_s - NOTICE_MARGIN_S:
+                self._stop_one(run, gang.save_grace_s)
+
     def _observe_task(self, machine: Machine, task: wire.TaskReport, now: float) -> None:
         parsed = wire.split_task(task.task)
         run = machine.runs.get(parsed) if parsed else None
         if run is None or run.attempt != task.attempt:
             return
         phase = observed_phase(task)
+        if phase is None:
+            self._note_unknown_state(task.state)
+            return
         if self.step(run, phase, task.why):
             if phase is Phase.RUNNING:
                 run.running_at = now
+            if phase in (Phase.GATHERING, Phase.RUNNING):
                 image = self._image_of(run.where.job)
                 if image is not None:
                     machine.images.add(image)
             if phase is Phase.EXITED:
                 self._judge(machine, run, now)
 
+    def _note_unknown_state(self, state: str) -> None:
+        """A state that this version does not know teaches nothing; workers may be newer than controllers."""
+        if state not in self._unknown_states and len(self._unknown_states) < ODD_KEPT:
+            self._unknown_states.add(state)
+            log.warning("workers report the unknown task state %r", state)
+
     def _judge(self, machine: Machine, run: TaskRun, now: float) -> None:
         """Learns from the way a task ended."""
         trouble = self.trouble[run.where.job]
@@ -368,14 +449,25 @@
         for run in machine.runs.values():
             name = wire.task_name(*run.key)
             if run.stop:
-                saving = run.phase is Phase.STOPPING and run.grace_s > 0
-                if run.phase < Phase.EXITED and not saving:
+                if run.phase < Phase.EXITED and not self._saving(run):
                     out.append(wire.Command(wire.STOP, name, run.attempt, run.grace_s))
-            elif run.phase in (Phase.ASSIGNED, Phase.STARTING) and run.session == machine.session:
+            elif run.phase in (Phase.ASSIGNED, Phase.STARTING) and run.session == machine.session and self._startable(run):
                 self.step(run, Phase.STARTING)
                 out.append(wire.Command(wire.START, name, run.attempt))
         return out
 
+    def _saving(self, run: TaskRun) -> bool:
+        """The task was told to save, and has time left for it. Members of a gang go on being reported as running."""
+        if run.grace_s <= 0:
+            return False
+        if run.stop_heard_at is not None:
+            return self.now - run.stop_heard_at < run.grace_s + SAVE_SLACK_S
+        return run.phase is Phase.STOPPING
+
+    def _startable(self, run: TaskRun) -> bool:
+        gang = self.gangs.get(run.where.job)
+        return gang is None or gang.startable
+
     def _called_off(self, report: wire.Report) -> list[wire.Command]:
         """Stops what is known to be cancelled. That needs no record, and may have to be done before the records can be
         read: a part may change hands just before an outage that is longer than `cancel_s`."""
@@ -406,8 +498,8 @@
     def needs_command(self, machine: Machine) -> bool:
         """Something on the machine has to start or stop and has not been told so for certain."""
         return machine.standing is Standing.KNOWN and any(
-            (run.phase is Phase.ASSIGNED and not run.stop)
-            or (run.stop and run.phase in (Phase.STARTING, Phase.FETCHING, Phase.RUNNING))
+            (run.phase is Phase.ASSIGNED and not run.stop and self._startable(run))
+            or (run.stop and Phase.STARTING <= run.phase <= Phase.RUNNING and not self._saving(run))
             for run in machine.runs.values()
         )
 
@@ -440,8 +532,12 @@
             run = machine.runs.get(key) if key else None
             if run is not None and command.op == wire.START and report.session == machine.session:
                 run.sent_seq = max(run.sent_seq, report.seq)
+            executed = report.session == sent.session and report.token <= sent.token
+            if run is not None and command.op == wire.STOP and executed and run.attempt == command.attempt:
+                run.stop_heard_at = now
         self.now = now
         self.observe(machine, report, now)
+        self._settle_gangs()
 
     def direct_lost(self, machine: Machine, sent: wire.DirectCommands, reached: bool) -> None:
         """Direct commands got no answer: they may act minutes later, so the machine gets a higher token."""
@@ -470,14 +566,20 @@
                 machine.idle_since = None
             elif machine.idle_since is None:
                 machine.idle_since = now
+        self._settle_gangs()
 
     def stop(self, run: TaskRun, grace_s: float) -> None:
-        """Has a task leave its machine."""
+        """Has a task leave its machine, and with it the other members of its gang."""
+        self._stop_one(run, grace_s)
+        self._settle_gangs()
+
+    def _stop_one(self, run: TaskRun, grace_s: float) -> None:
         run.stop, run.grace_s = True, grace_s
         self.attention[run.machine] = None
         if run.phase is Phase.ASSIGNED:
             # An earlier process may have sent a start, so absence has to be shown by a report all the same.
             self.step(run, Phase.STARTING)
+        self.gangs.note(run.where.job)
 
     def stop_job(self, ref: str, now: float) -> None:
         """Has all tasks of a cancelled job leave."""
@@ -557,6 +659,9 @@
 
     def _outcome(self, state: State, run: TaskRun) -> int:
         done = run.phase is Phase.EXITED and run.why == wire.WHY_DONE and not self._is_service(state, run)
+        gang = self.gangs.get(run.where.job)
+        if gang is not None and gang.state is GangState.ENDED:
+            return records.ENDED  # members complete together, also those whose own report never came
         if done or not live(state, run.where.job):
             return records.ENDED  # done, or nobody will want it again
         return records.RETURNED if self.dark else records.FREE  # there is no room for it here
@@ -568,20 +673,43 @@
     return record is not None and not record.cancelled
 
 
+def save_grace_s(spec: wire.Submission) -> float:
+    """How long a task that is told to leave gets to save its progress; 0 if it never saves."""
+    return spec.save_s * SAVE_FACTOR + SAVE_MARGIN_S if spec.checkpoint_s > 0 else 0.0
+
+
+def is_live_gang(state: State, job: str) -> bool:
+    """The job is on record, not cancelled, and its tasks start together."""
+    return live(state, job) and state.jobs[job].spec.kind == wire.GANG
+
+
 _BEFORE = {
-    records.ASSIGNED: {(records.FREE, 1)},
-    records.RETURNED: {(records.FREE, 0), (records.ASSIGNED, 0)},
-    records.ENDED: {(records.ASSIGNED, 0)},
-    records.FREE: {(records.ASSIGNED, 0)},
+    records.RETURNED: {records.FREE, records.ASSIGNED},
+    records.ENDED: {records.ASSIGNED},
+    records.FREE: {records.ASSIGNED},
 }
 
 
-def merged(record: AllotRecord, changes: dict[int, TaskEntry]) -> AllotRecord | None:
-    """A copy of an allotment with some entries replaced, as far as they still are what the change was decided for."""
+def _follows(entry: TaskEntry, new: TaskEntry, gang: bool) -> bool:
+    """The entry still is what the change was decided for: a new attempt has the next number, in a gang the next that none
+    of its members has had, and every other change belongs to the attempt that it was decided for."""
+    if new.state == records.ASSIGNED:
+        newer = new.attempt > entry.attempt if gang else new.attempt == entry.attempt + 1
+        return entry.state == records.FREE and newer
+    return entry.state in _BEFORE[new.state] and new.attempt == entry.attempt
+
+
+def merged(record: AllotRecord, changes: dict[int, TaskEntry], gang: bool = False) -> AllotRecord | None:
+    """A copy of an allotment with some entries replaced, as far as they still are what the change was decided for.
+
+    Members of a gang are given machines together, so one whose entry has changed keeps the others from it.
+    """
     out, changed = [], False
     for entry in record.tasks:
         new = changes.get(entry.index)
-        if new is not None and (entry.state, new.attempt - entry.attempt) in _BEFORE[new.state]:
+        if new is not None and _follows(entry, new, gang):
             entry, changed = new, True
+        elif new is not None and gang and new.state == records.ASSIGNED:
+            return None
         out.append(entry)
     return AllotRecord(out) if changed else None
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -5,11 +5,23 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import cached_property
 from itertools import groupby, islice
 
 from spurarch.bookkeeping import records
 from spurarch.bookkeeping.records import AllotKey, TaskEntry
-from spurarch.coordination.fit import EPSILON, Draft, Need, Room, all_fit, best_fit, fill, gathering
+from spurarch.coordination.fit import (
+    EPSILON,
+    Draft,
+    Need,
+    Room,
+    all_fit,
+    best_fit,
+    fill,
+    gathering,
+    gathering_rooms,
+)
+from spurarch.coordination.gang import GangAttempt, GangState
 from spurarch.coordination.machine import Phase, TaskRun
 from spurarch.coordination.part import Part, live
 from spurarch.coordination.view import FleetView, JobView
@@ -22,6 +34,18 @@
 IMAGE_WAIT_S = 1.5
 MOST_SLOTS = 100  # counted on one machine
 GATHER_FOR = 4  # tasks, at most, that machines are kept free for at a time
+GANG_RESERVE_AFTER_S = 1.5  # a gang that has waited for so long may keep room from arrays
+GANG_RESERVE_S = 30.0  # for so long at most
+GANG_ASSIGN_S = 10.0  # a gang whose members are only partly assigned for longer gives the machines up again
+GANG_MEMBER = -1  # stands for all members of a gang where a task's index is asked for
+
+
+@dataclass(slots=True, frozen=True)
+class Reservation:
+    """Machines whose room is kept for a gang."""
+
+    until: float
+    machines: frozenset[int]
 
 
 @dataclass(slots=True)
@@ -46,12 +70,15 @@
         self._claims: dict[tuple[str, int], tuple[float, int]] = {}  # until when, on which machine
         self.moved_at = float("-inf")  # when a task last found room
         self.targets: dict[tuple[str, int], tuple[str, float]] = {}  # where a moved task goes, and until when
+        self.reservations: dict[str, Reservation] = {}  # by gang
 
     def run(
         self, part: Part, view: FleetView, now: float, out_of_time: Callable[[], bool], most: int, wall: float = 0.0
     ) -> Placement:
         """One round; what the time or `most` changed allotments cut off comes first in the next."""
         self.targets = {k: t for k, t in self.targets.items() if t[1] > now}
+        waiting_jobs = {where.job for where in part.free}
+        self.reservations = {j: r for j, r in self.reservations.items() if r.until > now and j in waiting_jobs}
         turn = _Round(self, part, view, now, wall)
         try:
             turn.run(out_of_time, most)
@@ -106,6 +133,12 @@
         self._chosen: set[tuple[str, int]] = set()  # tasks that this round stops
         self._stopped: dict[int, float] = {}  # by team, CPUs of work that this round stops for guarantees
         self._victims_by_guarantee: list[TaskRun] | None = None
+        self._gangs_seen: set[str] = set()
+        self._reserved_rooms: list[Room] = []  # kept for gangs: arrays don't get them
+
+    @cached_property
+    def _rooms_by_name(self) -> dict[str, Room]:
+        return {self.view.machines.name(room.machine): room for room in self.rooms}
 
     def _usable(self) -> list[Room]:
         out = []
@@ -124,8 +157,10 @@
         self._roomy = [room for room in self.rooms if room.free_cpus > EPSILON]
         part, view = self.part, self.view
         self._book_pending()
+        for reservation in self.placer.reservations.values():
+            self._keep_from_arrays(reservation.machines)
         # While arrays stand in line for changes, more of them can't be started, and their order may change.
-        free = [w for w in part.free if w.job in view.jobs and (not self.placer.pending or view.jobs[w.job].service)]
+        free = [w for w in part.free if w.job in view.jobs and (not self.placer.pending or not view.jobs[w.job].array)]
         ranks = {w: self._rank(w) for w in free if w not in self.placer.pending and self._wanted(w.job)}
         order = sorted(ranks, key=ranks.__getitem__)
         for _, equals in groupby(order, key=lambda where: ranks[where][0][:2]):
@@ -138,11 +173,10 @@
 
     def _book_pending(self) -> None:
         """Starts whose transaction waits in line have their room already."""
-        by_name = {self.view.machines.name(room.machine): room for room in self.rooms} if self.placer.pending else {}
         for where, entries in self.placer.pending.items():
             job = self.view.jobs.get(where.job)
             for entry in entries.values():
-                room = by_name.get(entry.machine)
+                room = self._rooms_by_name.get(entry.machine)
                 if entry.state == records.ASSIGNED and job is not None and room is not None:
                     self.draft.take(room, job.need)
 
@@ -165,7 +199,7 @@
 
     def _patient(self, where: AllotKey) -> bool:
         job = self.view.jobs[where.job]
-        if job.service or job.gang:
+        if not job.array:
             return False
         since = self.placer.since_allot(where, self.now)
         return self.now - since < self.view.fetch_s(job)
@@ -175,6 +209,8 @@
             self.draft.take(self._reserved.pop(key), job.need, -1)
         if job.service:
             self._place_replicas(where, job)
+        elif job.gang:
+            self._place_gang(job)
         else:
             self._place_group(where, job)
 
@@ -200,11 +236,10 @@
 
     def _count_ended(self) -> None:
         """Tasks that have ended make room at once, also those whose end is not recorded yet."""
-        by_name = {self.view.machines.name(room.machine): room for room in self.rooms} if self.part.over else {}
         for where, runs in self.part.over.items():
             job = self.view.jobs.get(where.job)
             for run in runs.values():
-                room = by_name.get(run.machine)
+                room = self._rooms_by_name.get(run.machine)
                 if job is not None and room is not None:
                     self.draft.take(room, job.need, -1)
 
@@ -227,9 +262,10 @@
                 out[key] = room
         return out
 
-    def _assign(self, where: AllotKey, entry: TaskEntry, room: Room) -> None:
+    def _assign(self, where: AllotKey, entry: TaskEntry, room: Room, attempt: int | None = None) -> None:
         machine = self.part.machines[self.view.machines.name(room.machine)]
-        new = TaskEntry(entry.index, records.ASSIGNED, entry.attempt + 1, machine.name, machine.session)
+        number = entry.attempt + 1 if attempt is None else attempt
+        new = TaskEntry(entry.index, records.ASSIGNED, number, machine.name, machine.session)
         self.result.entries.setdefault(where, {})[entry.index] = new
 
     def _give_back(self, where: AllotKey, entry: TaskEntry) -> None:
@@ -240,9 +276,8 @@
     def _place_group(self, where: AllotKey, job: JobView) -> None:
         waiting = self._left(where)
         entries, count = iter(waiting), len(waiting)
-        # A gang starts as a whole or not at all.
         hopeless = self._hopeless(job.need)
-        if not hopeless and not (job.gang and not all_fit(job.need, self._roomy, count)):
+        if not hopeless:
             for room, number in fill(job.need, self._roomy, count, self.draft):
                 for entry in islice(entries, number):
                     self._assign(where, entry, room)
@@ -250,7 +285,7 @@
         left = list(entries)
         if not left:
             return
-        if not job.gang and not hopeless:
+        if not hopeless:
             self._full.append(job.need)
         if self._starving(job):
             self._gather(job)
@@ -266,7 +301,7 @@
                 continue
             if guaranteed and self.now - since > self.placer.guarantee_wait_s and self._take_back(key, job):
                 continue
-            if self.now - since > self._patience() and (job.gang or self._stuck(since) or self._better_elsewhere(job)):
+            if self.now - since > self._patience() and (self._stuck(since) or self._better_elsewhere(job)):
                 self._give_back(where, entry)
 
     def _lower(self, priority: int) -> bool:
@@ -352,6 +387,104 @@
             self.rooms.remove(room)
             self._roomy = [other for other in self._roomy if other is not room]
 
+    # Gangs: all members or none
+
+    def _place_gang(self, job: JobView) -> None:
+        """Gives machines to all waiting members of a gang, under one number, or to none of them."""
+        gang = self.part.gangs.get(job.ref)
+        if gang is None or job.ref in self._gangs_seen:
+            return
+        self._gangs_seen.add(job.ref)
+        key = job.ref, GANG_MEMBER
+        self.waiting.add(key)
+        since = self.placer.since(key, self.now)
+        number, members = gang.next_attempt(), gang.waiting()
+        if number is None or not members:
+            return  # members of the attempt before are still on their machines
+        rooms = self._rooms_for_gang(job)
+        if gang.whole and all_fit(job.need, rooms, len(members)):
+            left = iter(members)
+            for room, count in fill(job.need, rooms, len(members), self.draft):
+                for where, entry in islice(left, count):
+                    self._assign(where, entry, room, number)
+            self._roomy = [room for room in self._roomy if room.free_cpus > EPSILON]
+            return
+        if gang.state is GangState.ASSIGNING:
+            if self.now - since > GANG_ASSIGN_S:
+                self.result.preempt += gang.members.values()
+            return
+        if gang.whole and job.ref not in self.placer.reservations and self._reserve_for_gang(job, len(members), since):
+            return
+        if self.now - since > self._patience() and (self._stuck(since) or self._gang_fits_elsewhere(job, gang)):
+            for where, entry in members:
+                self._give_back(where, entry)
+
+    def _rooms_for_gang(self, job: JobView) -> list[Room]:
+        """Room that is nobody else's."""
+        mine = self.placer.reservations.get(job.ref)
+        if mine is None:
+            return self._roomy
+        return self._roomy + [room for room in self._reserved_rooms if room.machine in mine.machines]
+
+    def _reserve_for_gang(self, job: JobView, count: int, since: float) -> bool:
+        """Has work of lower priority leave, or keeps machines from arrays until enough room has gathered. One gang at a
+        time may keep room that way: what it keeps is idle meanwhile."""
+        rooms = self._preempt_for_gang(job, count) if self._lower(job.need.priority) else []
+        wait_s = PREEMPT_WAIT_S
+        if not rooms and not self.placer.reservations and self.now - since > GANG_RESERVE_AFTER_S:
+            rooms, wait_s = gathering_rooms(job.need, self._roomy_or_busy(), count), GANG_RESERVE_S
+        if not rooms:
+            return False
+        reservation = Reservation(self.now + wait_s, frozenset(room.machine for room in rooms))
+        self.placer.reservations[job.ref] = reservation
+        self._keep_from_arrays(reservation.machines)
+        return True
+
+    def _roomy_or_busy(self) -> list[Room]:
+        kept = {room.machine for room in self._reserved_rooms}
+        return [room for room in self.rooms if room.machine not in kept]
+
+    def _keep_from_arrays(self, machines: frozenset[int]) -> None:
+        self._reserved_rooms += [room for room in self.rooms if room.machine in machines]
+        self._roomy = [room for room in self._roomy if room.machine not in machines]
+
+    def _preempt_for_gang(self, job: JobView, count: int) -> list[Room]:
+        """Stops work of lower priority so that the whole gang fits; nothing if that is not enough. Other gangs are left
+        alone: to stop one member costs all of them."""
+        trial, rooms, victims = Draft(), [], []
+        try:
+            for room in sorted(self._roomy_or_busy(), key=lambda room: (-room.free_cpus, room.machine)):
+                picked: list[TaskRun] = []
+                for run in self._lower_runs(job.need, room):
+                    if room.slots(job.need, count) >= count:
+                        break
+                    trial.take(room, self.view.jobs[run.where.job].need, -1)
+                    picked.append(run)
+                slots = room.slots(job.need, count) if room.allows(job.need) else 0
+                if slots:
+                    rooms.append(room)
+                    victims += picked
+                    count -= slots
+                if count <= 0:
+                    break
+        finally:
+            trial.undo()
+        if count > 0:
+            return []
+        self.result.preempt += victims
+        self._chosen.update(run.key for run in victims)
+        return rooms
+
+    def _gang_fits_elsewhere(self, job: JobView, gang: GangAttempt) -> bool:
+        here = self.view.zones.index(self.part.zone)
+        closed = set(map(self.view.zones.index, self.view.dark()))
+        for zone, rooms in self.view.zone_rooms.items():
+            if zone != here and zone not in closed:
+                able = [room for room in rooms.values() if room.open]
+                if all_fit(job.need, able, gang.size):
+                    return True
+        return False
+
     # Replicas: one by one
 
     def _place_replicas(self, where: AllotKey, job: JobView) -> None:
@@ -361,6 +494,8 @@
             if self._await_claim(where, job, entry):
                 continue
             room = None if full else self._target(key, need) or best_fit(need, self._roomy)
+            if room is None and self._reserved_rooms:
+                room = best_fit(need, self._reserved_rooms)  # a gang's reservation holds against arrays only
             if room is not None and not self._has_image(room, need) and not self.placer.has_claim(key):
                 having = [r for r in self.rooms if self._has_image(r, need)]
                 if self._make_room(key, need, having, IMAGE_WAIT_S):
@@ -389,19 +524,35 @@
         for room in rooms:
             if not room.fits_by_preemption(need):
                 continue
-            machine = self.part.machines[self.view.machines.name(room.machine)]
-            lower = [run for run in machine.runs.values() if self._stoppable(run) and self._priority(run) > need.priority]
-            lower.sort(key=lambda run: (-self._priority(run), -(run.running_at or self.now)))
-            chosen = self._enough(need, room, lower)
-            if chosen and (best_room is None or len(chosen) < len(best)):
+            chosen = self._enough(need, room, self._lower_runs(need, room, gangs=need.priority == 0))
+            if chosen and (best_room is None or self._loss(chosen) < self._loss(best)):
                 best, best_room = chosen, room
-                if len(best) == 1:
+                if self._loss(best) == 1:
                     break
         if best_room is None:
             return False
         self._stop(key, need, best, best_room, wait_s)
         return True
 
+    def _lower_runs(self, need: Need, room: Room, gangs: bool = False) -> list[TaskRun]:
+        """Tasks on a machine that may be stopped for work of a higher priority, in the order in which they should be.
+        Members of gangs come last, and only for the most urgent work: each takes its whole gang with it."""
+        machine = self.part.machines[self.view.machines.name(room.machine)]
+        lower = [
+            run for run in machine.runs.values()
+            if self._stoppable(run) and self._priority(run) > need.priority and (gangs or not self._in_gang(run))
+        ]  # fmt: skip
+        lower.sort(key=lambda run: (self._in_gang(run), -self._priority(run), -(run.running_at or self.now)))
+        return lower
+
+    def _in_gang(self, run: TaskRun) -> bool:
+        return self.part.gangs.get(run.where.job) is not None
+
+    def _loss(self, runs: list[TaskRun]) -> int:
+        """How many tasks would stop with these."""
+        gangs = {run.where.job: gang.size for run in runs if (gang := self.part.gangs.get(run.where.job)) is not None}
+        return sum(gangs.values()) + sum(run.where.job not in gangs for run in runs)
+
     def _stop(self, key: tuple[str, int], need: Need, runs: list[TaskRun], room: Room, wait_s: float) -> None:
         self.waiting.add(key)
         self.placer.claim(key, self.now + wait_s, room.machine)
@@ -430,14 +581,13 @@
         if self._victims_by_guarantee is None:
             runs = [
                 run for run in self.part.runs.values()
-                if self._stoppable(run) and run.where.job in self.view.jobs
+                if self._stoppable(run) and run.where.job in self.view.jobs and not self._in_gang(run)
                 and run.where.job not in self.view.guaranteed()
             ]  # fmt: skip
             self._victims_by_guarantee = sorted(runs, key=lambda run: run.running_at or self.now)
-        by_name = {self.view.machines.name(room.machine): room for room in self.rooms}
         for run in reversed(self._victims_by_guarantee):
             victim = self.view.jobs[run.where.job]
-            room = by_name.get(run.machine)
+            room = self._rooms_by_name.get(run.machine)
             if victim.team == job.team or victim.service or room is None:
                 continue
             if self.view.beyond(victim.team) - self._stopped.get(victim.team, 0.0) < victim.need.cpus:
--- a/spurarch/coordination/refining.py
+++ b/spurarch/coordination/refining.py
@@ -83,7 +83,7 @@
         job = view.jobs.get(run.where.job)
         if job is not None and run.machine in index and run.phase < Phase.EXITED:
             at = index[run.machine]
-            tasks.append(Replica(len(runs), job.need, at, at, key in free_to_move, job.service))
+            tasks.append(Replica(len(runs), job.need, at, at, key in free_to_move, job.service or job.gang))
             runs.append(run)
     for i, name in enumerate(names):
         if not part.machines[name].open:
--- a/spurarch/coordination/renting.py
+++ b/spurarch/coordination/renting.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from itertools import islice
 
 from spurarch.coordination.admission import Shortage
 from spurarch.coordination.fit import EPSILON, Need, Room
@@ -83,16 +84,23 @@
     boot_s = max((offer.boot_s for offer in view.offers.values()), default=0.0)
     for shortage in _alike(_in_waves(shortage, now, boot_s) for shortage in shortages):
         left = shortage.count - turnover.absorb(shortage)
+        open_zones = zones
+        if shortage.gang and left > 0:
+            by_room = _zones_by_room(view, shortage.need, left, rooms, zones)
+            rentable = (z for z in by_room if _cheapest(view, shortage.need, left, closed, [z], per_zone) is not None)
+            open_zones = list(islice(rentable, 1))
         for room in rooms:
             if left <= 0:
                 break
+            if shortage.gang and view.zones.name(room.zone) not in open_zones:
+                continue
             if room.fits(shortage.need):
                 taken = room.slots(shortage.need, left)
                 room.take(shortage.need, taken)
                 left -= taken
         rooms = [room for room in rooms if room.free_cpus > EPSILON]
         while left > 0:
-            kind = _cheapest(view, shortage.need, left, closed, zones, per_zone)
+            kind = _cheapest(view, shortage.need, left, closed, open_zones, per_zone)
             if kind is None or sum(held.values()) >= MOST_PLANNED:
                 break
             held[kind] += 1
@@ -106,12 +114,24 @@
     return [Order(kind, min(count, MOST_AT_ONCE)) for kind, count in held.items()]
 
 
+def _zones_by_room(view: FleetView, need: Need, count: int, booting: list[Room], zones: list[str]) -> list[str]:
+    """Zones in the order in which a gang should be given one: where the fewest machines have to be rented for it."""
+
+    def room_in(zone: str) -> int:
+        index = view.zones.index(zone)
+        up = view.zone_rooms[index].values()
+        coming = (room for room in booting if room.zone == index)
+        return sum(room.slots(need, count) for room in (*up, *coming) if room.fits(need))
+
+    return sorted(zones, key=lambda zone: (-room_in(zone), zone))
+
+
 def _in_waves(shortage: Shortage, now: float, boot_s: float) -> Shortage:
     """As many tasks as need a machine each: the others can run there after them and still be done in time.
 
     What is late whatever is rented gains nothing by a machine for every task.
     """
-    if shortage.service or shortage.due is None:
+    if shortage.service or shortage.gang or shortage.due is None:
         return shortage
     left, each = shortage.due - now - boot_s, WAVE_SLACK * max(shortage.estimate_s, 1.0)
     waves = LATE_WAVES if left < each else min(MOST_WAVES, int(left / each))
@@ -122,7 +142,8 @@
     """Shortages in order of urgency, those of like tasks as one: there may be hundreds of small jobs."""
     out: dict[tuple[object, ...], Shortage] = {}
     for s in sorted(shortages, key=lambda s: (s.need.priority, s.due if s.due is not None else math.inf)):
-        key = (*s.need.shape, s.need.priority, s.service)
+        # Gangs stay apart from each other: each has to fit into one zone as a whole.
+        key = (*s.need.shape, s.need.priority, s.service, s.job if s.gang else None)
         if key in out:
             out[key] = replace(out[key], count=out[key].count + s.count)
         else:
--- a/spurarch/coordination/returns.py
+++ b/spurarch/coordination/returns.py
@@ -237,7 +237,7 @@
             record = MachineRecord(machine.type, machine.spot, machine.addr, False)
             if self.replica.state.machines[part.zone].get(machine.name) != record:
                 writes.append(Write(records.machine_key(part.zone, machine.name), record))
-        most = self.deployment.state.txn_ops
+        most = self.deployment.state.transaction_changes
         for at in range(0, len(writes), most):
             outcome = await self.replica.commit(writes[at : at + most], [records.PART + part.zone], give_up_s=3.0)
             if outcome.verdict is not Verdict.DONE:
--- a/spurarch/coordination/users.py
+++ b/spurarch/coordination/users.py
@@ -14,14 +14,16 @@
 from spurarch.bookkeeping.records import JobRecord
 from spurarch.bookkeeping.replica import Replica, Write
 from spurarch.bookkeeping.store import Unavailable, Verdict
+from spurarch.coordination.membership import gangs_supported
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
-from spurarch.settings import Team
+from spurarch.settings import Deployment
 from spurarch.transport.http import Response
 
 log = logging.getLogger(__name__)
 
 RETRY_S = 1
+UPGRADE_RETRY_S = 5
 GIVE_UP_S = 2.5
 SYNC_S = 1.2
 MOST_WAIT_S = 2.0
@@ -41,12 +43,13 @@
     """Submissions, polls and cancels."""
 
     def __init__(
-        self, replica: Replica, view: FleetView, teams: list[Team], zones: list[str],
+        self, replica: Replica, view: FleetView, deployment: Deployment, nodes: list[str],
         wake: Callable[[], Awaitable[None]], tell_cancelled: Callable[[str], Awaitable[None]],
     ) -> None:  # fmt: skip
         self.replica, self.view, self._wake, self._tell_cancelled = replica, view, wake, tell_cancelled
-        self._teams = {team.name: team for team in teams}
-        self._zones = set(zones)
+        self._teams = {team.name: team for team in deployment.teams}
+        self._zones = set(deployment.zones)
+        self._nodes = nodes
         self._pending = 0
 
     async def submit(self, body: bytes) -> Response:
@@ -81,8 +84,14 @@
         if refusal is not None:
             # A job that was accepted once is never refused, whatever has changed since.
             return await self._known(spec.id) or refusal
+        guards: list[str] = []
+        if spec.kind == wire.GANG:
+            if not gangs_supported(state.members):
+                return error(503, "gangs are taken once all controllers have been upgraded", UPGRADE_RETRY_S)
+            # A controller of an earlier version may join between this check and the transaction.
+            guards = [records.MEMBER + node for node in self._nodes]
         outcome = await self.replica.commit(
-            [Write(records.JOB + spec.id, JobRecord(spec, time.time()))],
+            [Write(records.JOB + spec.id, JobRecord(spec, time.time()))], guards,
             absent=[records.FINAL + spec.id], give_up_s=GIVE_UP_S, urgency=Urgency.USERS,
         )  # fmt: skip
         if outcome.verdict is Verdict.DONE:
@@ -100,6 +109,8 @@
         count = 1 if spec.kind == wire.BATCH else spec.tasks
         if 0 < team.cpus_max < spec.cpus * count - 1e-6 or 0 < team.gpus_max < spec.gpus * count - 1e-6:
             return error(422, "the job needs more than its team's limit")
+        if spec.kind == wire.GANG and spec.spread and spec.tasks > 1:
+            return error(422, "spread: the tasks of a gang are in one zone")
         if spec.zone is not None and spec.zone not in self._zones:
             return error(422, "district: unknown zone")
         if not self.view.offers:
--- a/spurarch/coordination/view.py
+++ b/spurarch/coordination/view.py
@@ -16,9 +16,11 @@
 from spurarch.coordination.fit import EPSILON, Need, Room
 from spurarch.protocol import wire
 from spurarch.protocol.names import Names
-from spurarch.settings import Team
+from spurarch.settings import Objective, Team
 
 IMAGES_KEPT = 32
+START_OBJECTIVE = "wait"  # an aim on how soon the tasks of a class start
+GANG_START_S = 30.0  # what a gang without such an aim is given
 OFTEN = 2  # starts after which it is more likely the task than the machines
 
 
@@ -38,6 +40,7 @@
     at: float
     estimate_s: float
     image_gb: float = 0.0
+    start_by: float | None = None  # when a gang should have started, as its users' aims say
     in_zone: dict[int, int] = field(default_factory=lambda: defaultdict(int))  # tasks not over, by zone
     charged: int = 0
     ended: int = 0
@@ -45,6 +48,11 @@
     returned: int = 0
     admitted: int = 0  # tasks that were ever admitted; those after it are new
 
+    @property
+    def array(self) -> bool:
+        """Its tasks are independent of each other, and each runs to its end."""
+        return not self.service and not self.gang
+
     @property
     def to_admit(self) -> int:
         """Tasks that wait for admission."""
@@ -81,7 +89,9 @@
 class FleetView:
     """Tables of machines, jobs and teams."""
 
-    def __init__(self, state: State, teams: Iterable[Team], size_weight: float = 0.0) -> None:
+    def __init__(
+        self, state: State, teams: Iterable[Team], size_weight: float = 0.0, objectives: Iterable[Objective] = ()
+    ) -> None:
         self.state, self.size_weight = state, size_weight
         self.zones, self.types, self.teams = Names(), Names(), Names()
         self.images, self.machines = Names(), Names()
@@ -101,6 +111,7 @@
         self._guaranteed: set[str] | None = None
         self._usual: float | None = None  # allowance in seconds per CPU second of work, over the jobs that wait
         self._dirty = state.subscribe()
+        self._start_within = {o.job_class: o.within_s for o in objectives if o.kind == START_OBJECTIVE}
         for team in teams:
             self.limits[self.teams.index(team.name)] = team
 
@@ -185,7 +196,10 @@
         """
         if starving:
             return -1, False, job.at, job.at
-        due = job.due + self._size_s(job) if job.due is not None else float("inf")
+        if job.start_by is not None:
+            due = job.start_by
+        else:
+            due = job.due + self._size_s(job) if job.due is not None else float("inf")
         return job.need.priority, job.ref not in self.guaranteed(), due, job.at
 
     def _size_s(self, job: JobView) -> float:
@@ -215,6 +229,7 @@
     def _job_view(self, ref: str, record: records.JobRecord) -> JobView:
         """The decisions' view of a job."""
         spec = record.spec
+        gang = spec.kind == wire.GANG
         need = Need(
             spec.cpus,
             spec.gpus,
@@ -230,14 +245,15 @@
             need,
             self.teams.index(spec.team),
             spec.kind == wire.SERVICE,
-            spec.kind == wire.GANG,
+            gang,
             spec.tasks,
             (spec.tasks + 1) // 2 if spec.spread else None,
-            spec.one_zone or spec.kind == wire.GANG,
+            spec.one_zone or gang,
             record.at + spec.deadline_s if spec.deadline_s is not None else None,
             record.at,
             spec.estimate_s,
             spec.image_gb,
+            record.at + self._start_within.get(spec.job_class, GANG_START_S) if gang else None,
         )
 
     def _take_machine(self, zone: str, name: str) -> None:
--- a/spurarch/protocol/hints.py
+++ b/spurarch/protocol/hints.py
@@ -43,7 +43,8 @@
     """Changes a second that the sender made of late, and whether more wait in line: rates are lent by this.
 
     `strangers` are the workers that reported to the sender in the last seconds though another holds their zone, `returned`
-    machines that it gave back to the cloud and that are still on record.
+    machines that it gave back to the cloud and that are still on record. `writes_refused` counts the transactions that the
+    state service refused it for their rate (an older version leaves it out, and passes it over).
     """
 
     node: str
@@ -51,6 +52,7 @@
     hungry: bool
     strangers: list[tuple[str, int]] = []
     returned: list[str] = []
+    writes_refused: int = 0
 
 
 Hint = Wake | Ping | Pong | Cancelled | Load
--- a/spurarch/settings.py
+++ b/spurarch/settings.py
@@ -13,6 +13,7 @@
 NotNegative = Annotated[float, Meta(ge=0)]
 Share = Annotated[float, Meta(ge=0, le=1)]
 Address = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
+GUARDS_PER_CHANGE = 4  # the state service allows that many conditions for every change that a transaction may have
 Text = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[^\s/]+$")]
 
 
@@ -46,15 +47,60 @@
     report_s: Positive
     lease_s: Positive
     cancel_s: Positive
+    gang_wait_s: Positive = 30.0
+    gang_peer_s: Positive = 4.0
+
+
+class NextStateLimits(Struct):
+    """Limits that the state service will have from some unannounced moment on; what is absent stays as it is."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Annotated[int, Meta(ge=4)] | None = None
+
+
+def _lower(present: float, later: float | None) -> float:
+    return present if later is None else min(present, later)
 
 
 class StateLimits(Struct):
-    """Published limits of the state service."""
+    """Published limits of the state service.
+
+    Sizes must never exceed what is allowed now or later, since the change comes without notice; rates start from what is
+    allowed now and follow the service's refusals down to what is allowed later.
+    """
 
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Annotated[int, Meta(ge=4)]
+    next: NextStateLimits | None = None
+
+    @property
+    def value_bytes(self) -> int:
+        """The largest value to write, in bytes."""
+        return int(_lower(self.value_kb, self.next.value_kb if self.next else None) * 1024)
+
+    @property
+    def transaction_changes(self) -> int:
+        """The most changes to put into one transaction."""
+        return int(_lower(self.txn_ops, self.next.txn_ops if self.next else None))
+
+    @property
+    def transaction_guards(self) -> int:
+        """The most conditions to put into one transaction, those on written keys included."""
+        return GUARDS_PER_CHANGE * self.transaction_changes
+
+    @property
+    def lowest_rps(self) -> float:
+        """The rate of requests that the service will allow at least."""
+        return _lower(self.rps, self.next.rps if self.next else None)
+
+    @property
+    def lowest_write_rps(self) -> float:
+        """The rate of changes that the service will allow at least."""
+        return _lower(self.write_rps, self.next.write_rps if self.next else None)
 
 
 class CloudLimits(Struct):
--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -13,6 +13,7 @@
 
 from spurarch.transport.http import NoAnswer, Request, Response
 from tests.sim.clock import Clock
+from tests.sim.gangs import SimGangs
 from tests.sim.net import Wire
 from tests.sim.store import answer
 
@@ -27,6 +28,8 @@
     ready_at: float
     ends_at: float | None
     why: str | None = None
+    gathers_since: float = 0.0
+    saved: bool = False
 
 
 @dataclass
@@ -51,8 +54,13 @@
 class World:
     """Jobs as users submitted them, machines as they are."""
 
-    def __init__(self, clock: Clock, wire: Wire, report_s: float, lease_s: float, cancel_s: float) -> None:
+    def __init__(
+        self, clock: Clock, wire: Wire, report_s: float, lease_s: float, cancel_s: float,
+        gang_wait_s: float = 30.0, gang_peer_s: float = 4.0,
+    ) -> None:  # fmt: skip
         self.clock, self.wire = clock, wire
+        self.gangs = SimGangs(self, gang_wait_s, gang_peer_s)
+        self.saved_attempts: dict[str, set[int]] = {}
         self.report_s, self.lease_s, self.cancel_s = report_s, lease_s, cancel_s
         self.jobs: dict[str, dict[str, Any]] = {}
         self.run_s: dict[str, list[float]] = {}  # by job, of its tasks in turn
@@ -68,11 +76,15 @@
         self.late_reports_until, self.late_reports_share, self.late_reports = 0.0, 0.0, 0
         self.ended: list[str] = []  # jobs of which the last task has just ended
 
+    def is_gang(self, job: str) -> bool:
+        """Its tasks start together."""
+        return bool(self.jobs[job]["gait"] == "gang")
+
     def on_machines(self) -> Iterator[tuple[Worker, SimTask]]:
-        """All tasks that run."""
+        """All tasks that have their image and have not left."""
         for worker in self.workers.values():
             for task in worker.tasks.values():
-                if worker.up and task.state in ("running", "saving"):
+                if worker.up and task.state in ("gathering", "running", "saving"):
                     yield worker, task
 
     def run_of(self, job: str, index: int) -> float:
@@ -135,7 +147,7 @@
         self.tasks: dict[str, SimTask] = {}
         self.images: set[str] = set()
         self.notice_until: float | None = None
-        self._news = False
+        self.news = False
         self.sent: list[tuple[str, bytes]] = []  # (address, body) of all reports, for late copies
         world.wire.hosts[self.addr] = name
         world.wire.handlers[self.addr] = self.serve
@@ -145,7 +157,8 @@
         self.seq += 1
         now = self.world.clock.now
         legs = [
-            {"leg": t.name, "try": t.attempt, "standing": t.state, **({"cause": t.why} if t.why else {})}
+            {"leg": t.name, "try": t.attempt, "standing": t.state, **({"cause": t.why} if t.why else {}),
+             **({"stored": True} if t.saved else {})}
             for t in self.tasks.values()
         ]
         warning = None if self.notice_until is None else max(0.0, self.notice_until - now)
@@ -173,7 +186,7 @@
 
     def _see(self, token: int) -> None:
         if token > self.token:
-            self.token, self._news = token, True
+            self.token, self.news = token, True
 
     def execute(self, orders: list[dict[str, Any]]) -> None:
         """Carries out commands in order."""
@@ -184,13 +197,17 @@
                 if held is None or (held.state == "ended" and held.attempt != attempt):
                     self._start(name, attempt)
             elif order["verb"] == "halt" and held is not None and held.attempt == attempt and held.state != "ended":
-                held.state, held.why, self._news = "ended", "halted", True
+                if self.world.jobs.get(name.split("/")[0], {}).get("gait") == "gang":
+                    self.world.gangs.halt(held, float(order.get("leeway_s") or 0.0))
+                    self.news = True
+                    continue
+                held.state, held.why, self.news = "ended", "halted", True
             elif order["verb"] == "forget" and held is not None and held.attempt == attempt and held.state == "ended":
                 del self.tasks[name]
 
     def _start(self, name: str, attempt: int) -> None:
         now, job = self.world.clock.now, name.split("/")[0]
-        self._news = True
+        self.news = True
         spec = self.world.jobs.get(job)
         task = SimTask(name, attempt, "fetching", now, None)
         self.tasks[name] = task
@@ -221,27 +238,42 @@
         if now - self.renewed > self.world.lease_s:
             self.tasks.clear()
             self.session += 1
-            self.renewed, self._news = now, True
+            self.renewed, self.news = now, True
         for task in self.tasks.values():
             job, index = task.name.split("/")
             if task.state == "fetching" and now >= task.ready_at:
                 self.images.add(self.world.jobs[job]["kit"])
                 if self.sick or job in self.world.faulty:
-                    task.state, task.why, self._news = "ended", "error", True
+                    task.state, task.why, self.news = "ended", "error", True
+                    continue
+                self.news = True
+                if self.world.is_gang(job):
+                    self.world.gangs.gather(self, task)
+                    self.world.check_start(self, task)
                     continue
-                task.state, self._news = "running", True
+                task.state = "running"
                 self.world.check_start(self, task)
                 finished = int(index) in self.world.done.setdefault(job, set())
                 if self.world.jobs[job]["gait"] != "daemon":
                     task.ends_at = now if finished else now + self.world.run_of(job, int(index))
-            if task.state == "running":
+            if task.state in ("gathering", "running") and self.world.is_gang(job):
+                self.world.check_cancelled(task)
+                self.world.gangs.step(self, task)
+                if task.why == "done":
+                    self._complete(job, int(index))
+            elif task.state == "running":
                 self.world.check_cancelled(task)
                 if task.ends_at is not None and now >= task.ends_at:
-                    task.state, task.why, self._news = "ended", "done", True
-                    done = self.world.done.setdefault(job, set())
-                    if int(index) not in done and len(done) + 1 == self.world.jobs[job]["legs"]:
-                        self.world.ended.append(job)
-                    done.add(int(index))
+                    task.state, task.why, self.news = "ended", "done", True
+                    self._complete(job, int(index))
+
+    def _complete(self, job: str, index: int) -> None:
+        """A task has done its work; those of a gang complete together."""
+        done, size = self.world.done.setdefault(job, set()), self.world.jobs[job]["legs"]
+        ready = set(range(size)) if self.world.is_gang(job) else {index}
+        if len(done) < size == len(done | ready):
+            self.world.ended.append(job)
+        done |= ready
 
     async def run(self) -> None:
         """Reports until the machine is gone."""
@@ -252,9 +284,9 @@
             if clock.now < self.hang_until:
                 continue
             self.step()
-            due = clock.now - last >= self.world.report_s or (self._news and clock.now - last >= 0.5)
+            due = clock.now - last >= self.world.report_s or (self.news and clock.now - last >= 0.5)
             if due and self.up:
-                last, self._news = clock.now, False
+                last, self.news = clock.now, False
                 await self._beat()
 
     async def _beat(self) -> None:
@@ -314,7 +346,7 @@
         """Back at once in a new session, with nothing on it."""
         self.tasks.clear()
         self.session += 1
-        self.renewed, self._news = self.world.clock.now, True
+        self.renewed, self.news = self.world.clock.now, True
 
     def die(self) -> None:
         """The machine is gone with all that was on it."""
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -16,11 +16,13 @@
 
 import curio
 
+from spurarch.bookkeeping import records
 from spurarch.coordination.controller import Controller
 from spurarch.settings import (
     CloudLimits,
     Deployment,
     External,
+    NextStateLimits,
     Peer,
     Platform,
     StateLimits,
@@ -56,7 +58,7 @@
     @staticmethod
     def variants(path: Path) -> list[dict[str, str]]:
         """The values of every `vary NAME VALUE...` line, in all their combinations."""
-        lines = [line.split() for line in path.read_text().splitlines() if line.startswith("vary ")]
+        lines = [shlex.split(line) for line in path.read_text().splitlines() if line.startswith("vary ")]
         return [dict(zip([w[1] for w in lines], values, strict=True)) for values in product(*(w[2:] for w in lines))]
 
     @staticmethod
@@ -99,6 +101,8 @@
         self.zones = ["a", "b", "c"]
         self.teams: list[Team] = []
         self.limits = {"report_s": 1.0, "lease_s": 10.0, "cancel_s": 30.0, "rps": 200.0, "write_rps": 80.0}
+        self.next_limits: NextStateLimits | None = None
+        self.earlier: set[str] = set()  # controllers of the version before gangs
         self.tuning = Tuning()
         self.count = 3
         self.running: dict[str, Any] = {}
@@ -143,6 +147,12 @@
             machines.append(words[1:])
         elif words[0] == "limits":
             self.limits |= {k: float(v) for k, v in opts.items()}
+        elif words[0] == "next-limits":
+            self.next_limits = NextStateLimits(
+                None, float(opts["write_rps"]), float(opts["value_kb"]), int(opts["txn_ops"])
+            )  # fmt: skip
+        elif words[0] == "earlier":
+            self.earlier.update(words[1:])
         elif words[0] == "tuning":
             for name, value in opts.items():
                 setattr(self.tuning, name, type(getattr(self.tuning, name))(float(value)))
@@ -152,13 +162,15 @@
     def platform(self, index: int) -> Platform:
         """Settings of one controller."""
         w = self.limits
+        # The version before gangs does not read what the platform says of limits to come.
+        next_limits = None if f"n{index}" in self.earlier else self.next_limits
         peers = [
             Peer(f"n{i}", self.zones[i % len(self.zones)], f"10.0.0.{i + 1}:8081")
             for i in range(self.count) if i != index
         ]  # fmt: skip
         deployment = Deployment(
             self.zones, self.teams, Workers(w["report_s"], w["lease_s"], w["cancel_s"]),
-            StateLimits(w["rps"], w["write_rps"], 8.0, 24), CloudLimits(8.0, 5.0), self.count,
+            StateLimits(w["rps"], w["write_rps"], 8.0, 24, next_limits), CloudLimits(8.0, 5.0), self.count,
         )  # fmt: skip
         return Platform(
             f"n{index}", self.zones[index % len(self.zones)], self.nodes[index][1], f"10.0.0.{index + 1}:8081",
@@ -169,7 +181,8 @@
         """Starts a controller."""
         network = self.networks[node] = SimNetwork(self.wire, node)
         boot = f"{self.boots.getrandbits(64):016x}"  # chosen here, so that equal plays are equal
-        controller = Controller(self.platform(int(node[1:])), self.tuning, network, boot)
+        version = records.GANG_VERSION - 1 if node in self.earlier else records.PROGRAM_VERSION
+        controller = Controller(self.platform(int(node[1:])), self.tuning, network, boot, version)
         self.controllers[node] = controller
         self.running[node] = await curio.spawn(controller.run, daemon=True)
 
@@ -213,6 +226,20 @@
             await self.kill(args[0])
             if "for" in opts:
                 await curio.spawn(self._restart, args[0], float(opts["for"]), daemon=True)
+        elif action == "upgrade":  # killed, and back as the present version
+            self.earlier.discard(args[0])
+            await self._act(["kill", *args])
+        elif action == "downgrade":  # killed, and back as the version before gangs
+            self.earlier.add(args[0])
+            await self._act(["kill", *args])
+        elif action == "lower-limits":
+            if self.next_limits is None:
+                raise ValueError("next-limits is missing")
+            announced = self.next_limits
+            assert announced.write_rps is not None
+            assert announced.value_kb is not None
+            assert announced.txn_ops is not None
+            self.store.lower_limits(announced.write_rps, announced.value_kb, announced.txn_ops)
         elif action == "kill-all":
             for node, _ in self.nodes:
                 await self._act(["kill", node, *args])
@@ -308,6 +335,14 @@
             return record is not None and record.cancelled
         if kind == "heard":  # a controller was told by another that a job is cancelled
             return args[1] in self.controllers[args[0]].reach.cancelled
+        if kind == "runs-all":  # all tasks of a gang run
+            job = self.world.jobs[args[0]]
+            states = [task.state for _, task in self.world.on_machines() if task.name.startswith(args[0] + "/")]
+            return states == ["running"] * job["legs"]
+        if kind == "gathers":  # a task of a gang waits for the others
+            return any(t.name.startswith(args[0] + "/") and t.state == "gathering" for _, t in self.world.on_machines())
+        if kind == "answered":  # a user got that status
+            return int(args[0]) in self.answers
         if kind == "loaded":
             return args[0] in self.running and self.controllers[args[0]].replica.loaded
         raise ValueError(f"unknown state of things: {words}")
@@ -351,7 +386,8 @@
             "kit": opts.get("image", "i"), "pull_gb": float(opts.get("fetch", 0.5)),
             "builds": [opts["type"]] if "type" in opts else None, "district": opts.get("zone"),
             "together": "together" in opts, "spread": "spread" in opts, "lendable": "spot" in opts,
-            "reckon_s": 5.0, "waypoint_s": 0.0, "stow_s": 0.0, "cutoff_s": None,
+            "reckon_s": float(opts.get("estimate", 5.0)), "waypoint_s": float(opts.get("checkpoint", 0.0)),
+            "stow_s": float(opts.get("save", 0.0)), "cutoff_s": None,
         }  # fmt: skip
         self.world.jobs[ref] = spec
         self.world.submitted[ref] = self.clock.now
@@ -453,6 +489,10 @@
         kind, args = words[0], words[1:]
         if kind == "told":
             return self.told.get(args[0], ["nothing"])[-1] == args[1]
+        if kind == "attempts":  # attempts JOB NUMBER: so many attempts of a gang have run
+            return self.world.gangs.starts.get(args[0], 0) == int(args[1])
+        if kind == "orderly":  # orderly JOB NUMBER: so many of them saved their progress when they were stopped
+            return self.world.gangs.orderly.get(args[0], 0) == int(args[1])
         if kind == "on":  # on JOB COUNT: replicas that run at the end
             found = [t for _, t in self.world.on_machines() if t.name.startswith(args[0] + "/")]
             return len(found) == int(args[1])
--- a/tests/sim/store.py
+++ b/tests/sim/store.py
@@ -100,6 +100,11 @@
 
         return handle
 
+    def lower_limits(self, write_rps: float, value_kb: float, txn_ops: int) -> None:
+        """From now on less is taken; what is stored stays."""
+        self._rates["writes"] = write_rps, min(write_rps, self._rates["writes"][1]), self.clock.now
+        self._value_bytes, self._txn_ops = value_kb * 1024, txn_ops
+
     async def _carry_out_late(self, request: Request) -> None:
         """A transaction that got no answer is carried out after newer ones; in an outage, once that is over."""
         await curio.sleep(2.0 + (LATEST_S - 2.0) * self.random.random())
--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -24,6 +24,7 @@
     leader.view = fleet.view
     leader.deployment = SimpleNamespace(state=SimpleNamespace(txn_ops=24))  # type: ignore[assignment]
     leader._chunk = 100
+    leader._most_changes = 24
     return leader
 
 
--- a/tests/test_bursts.py
+++ b/tests/test_bursts.py
@@ -12,7 +12,7 @@
 from spurarch.coordination.placing import Placer
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
-from spurarch.settings import Team
+from spurarch.settings import StateLimits, Team
 from tests.sim.clock import Clock
 from tests.test_scale import Answering, Fleet, submission
 
@@ -59,7 +59,7 @@
     waited: dict[Urgency, float] = {}
 
     async def play() -> None:
-        store = Store(Answering(), 1000.0, 20.0, 1)
+        store = Store(Answering(), StateLimits(1000.0, 20.0, 8.0, 24), 1)
 
         async def arrays() -> None:
             while True:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -22,7 +22,7 @@
 from spurarch.coordination.tabu import Replica, Search, Weights
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
-from spurarch.settings import Team
+from spurarch.settings import StateLimits, Team
 from tests.sim.clock import Clock
 
 
@@ -195,7 +195,7 @@
     waited: list[float] = []
 
     async def play() -> None:
-        store = Store(Answering(), 1000.0, 20.0, 1)
+        store = Store(Answering(), StateLimits(1000.0, 20.0, 8.0, 24), 1)
 
         async def small() -> None:
             while True:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -10,6 +10,7 @@
 from spurarch.bookkeeping.replica import Replica, State, Write
 from spurarch.bookkeeping.store import Store
 from spurarch.protocol import wire
+from spurarch.settings import StateLimits
 from tests.sim.clock import Clock
 from tests.test_scale import Answering, submission
 
@@ -62,7 +63,7 @@
     clock = Clock()
 
     async def play() -> None:
-        replica = Replica(Store(Answering(), 1000.0, 20.0, 1))
+        replica = Replica(Store(Answering(), StateLimits(1000.0, 20.0, 8.0, 24), 1))
 
         async def look() -> None:
             while len(seen) < 50:
