--- /dev/null
+++ b/tests/test_gangs.py
@@ -0,0 +1,211 @@
+"""Decisions on gangs: when members may start, when all must leave, and which number the next attempt has."""
+
+from __future__ import annotations
+
+import logging
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from spurarch.bookkeeping import records
+from spurarch.bookkeeping.records import AllotKey, AllotRecord, JobRecord, MemberRecord, PartRecord, TaskEntry
+from spurarch.bookkeeping.replica import State, Write
+from spurarch.coordination.fit import Need, Room, gathering_rooms
+from spurarch.coordination.gang import GangAttempt, Gangs, GangState
+from spurarch.coordination.machine import Phase, TaskRun
+from spurarch.coordination.membership import assign_parts, gangs_supported
+from spurarch.coordination.part import Part, merged
+from spurarch.protocol import wire
+
+WHERE = AllotKey("a", "job-1", 0)
+
+
+def submission(tasks: int) -> wire.Submission:
+    return wire.Submission(
+        id="job-1", job_class="c", team="t", kind=wire.GANG, priority="normal", tasks=tasks, cpus=1.0, gpus=0.0,
+        memory_gb=1.0, image="i", image_gb=0.0, one_zone=True, spread=False, spot=False, estimate_s=1.0,
+        checkpoint_s=5.0, save_s=2.0,
+    )  # fmt: skip
+
+
+def member(index: int, attempt: int = 1) -> TaskRun:
+    return TaskRun(WHERE, index, attempt, f"vm-{index}", 1, 0.0)
+
+
+def gang_of(*entries: TaskEntry) -> GangAttempt:
+    gang = GangAttempt("job-1", len(entries), 4.0)
+    gang.record(WHERE, list(entries))
+    for entry in entries:
+        if entry.state == records.ASSIGNED:
+            gang.members[entry.index] = member(entry.index, entry.attempt)
+    gang.settle()
+    return gang
+
+
+def assigned(index: int, attempt: int = 1) -> TaskEntry:
+    return TaskEntry(index, records.ASSIGNED, attempt, f"vm-{index}", 1)
+
+
+def free(index: int, attempt: int = 0) -> TaskEntry:
+    return TaskEntry(index, records.FREE, attempt)
+
+
+def test_members_start_only_once_all_are_on_record() -> None:
+    assert not gang_of(assigned(0), free(1)).startable
+    assert gang_of(assigned(0), assigned(1)).startable
+    assert not gang_of(assigned(0, 1), assigned(1, 2)).startable
+
+
+def test_a_partly_assigned_attempt_is_completed_under_its_own_number() -> None:
+    gang = gang_of(assigned(0, 3), free(1, 2))
+    assert gang.state is GangState.ASSIGNING
+    assert gang.next_attempt() == 3
+    assert gang.to_stop() == []
+
+
+def test_the_next_number_is_above_all_that_were_used_and_waits_for_the_last_member() -> None:
+    gang = gang_of(assigned(0, 3), free(1, 3))
+    assert gang.state is GangState.STOPPING
+    assert gang.next_attempt() is None
+    assert [run.index for run in gang.to_stop()] == [0]
+    assert gang_of(free(0, 3), free(1, 5)).next_attempt() == 6
+
+
+@pytest.mark.parametrize("why", [wire.WHY_PEERS, wire.WHY_INCOMPLETE, wire.WHY_ERROR, wire.WHY_STOPPED, wire.WHY_NO_ROOM])
+def test_all_leave_once_one_has_left(why: str) -> None:
+    gang = gang_of(assigned(0), assigned(1), assigned(2))
+    for run in gang.members.values():
+        run.advance(Phase.RUNNING)
+    states = []
+    for leaves in (False, True):
+        if leaves:
+            gang.members[1].advance(Phase.EXITED, why)
+        gang.settle()
+        states.append(gang.state)
+    assert states == [GangState.RUNNING, GangState.STOPPING]
+    assert [run.index for run in gang.to_stop()] == [0, 2]
+    assert gang.grace_s() == 0.0  # there is nothing to save any more
+    assert not gang.startable
+
+
+def test_one_that_completed_proves_that_all_did() -> None:
+    gang = gang_of(assigned(0), assigned(1))
+    for run in gang.members.values():
+        run.advance(Phase.RUNNING)
+    gang.members[0].advance(Phase.EXITED, wire.WHY_DONE)
+    gang.settle()
+    assert gang.state is GangState.ENDED
+    assert gang.to_stop() == []
+    gang.members[1].advance(Phase.GONE)
+    gang.settle()
+    assert gang.state is GangState.ENDED
+
+
+def test_an_end_on_record_proves_the_same_to_the_next_owner() -> None:
+    gang = gang_of(TaskEntry(0, records.ENDED, 2), assigned(1, 2))
+    assert gang.state is GangState.ENDED
+    assert not gang.startable
+    assert [run.index for run in gang.to_stop()] == [1]  # its absence has to be shown, since it may never come back
+
+
+def test_members_are_stopped_with_the_same_time_to_save() -> None:
+    gangs = Gangs()
+    gang = gangs.track("job-1", 3, 4.0)
+    gang.record(WHERE, [assigned(i) for i in range(3)])
+    gang.members.update({i: member(i) for i in range(3)})
+    for run in gang.members.values():
+        run.advance(Phase.RUNNING)
+    gang.members[2].stop, gang.members[2].grace_s = True, 4.0
+    gangs.note("job-1")
+    assert [(run.index, grace) for run, grace in gangs.settle()] == [(0, 4.0), (1, 4.0)]
+    assert gangs.settle() == []
+
+
+def part_with(job: JobRecord, entries: list[TaskEntry]) -> tuple[Part, State]:
+    state = State()
+    state.put(records.JOB + "job-1", 1, job)
+    state.put(str(WHERE), 2, AllotRecord(entries))
+    part = Part("a", 1, 10.0, 0.0, lambda ref: None)
+    part.take_records(state, list(state.entries), 0.0)
+    part.ready = True
+    return part, state
+
+
+def test_no_command_starts_part_of_a_gang() -> None:
+    part, state = part_with(JobRecord(submission(2), 0.0), [assigned(0), free(1)])
+    machine = part.machines["vm-0"]
+    machine.session = 1
+    assert part.commands(machine, None) == []
+    state.put(str(WHERE), 3, AllotRecord([assigned(0), assigned(1)]))
+    part.take_records(state, [str(WHERE)], 1.0)
+    assert [(c.op, c.task, c.attempt) for c in part.commands(machine, None)] == [(wire.START, "job-1/0", 1)]
+
+
+def test_a_split_record_keeps_what_is_known_of_its_tasks() -> None:
+    """Forgetting an end that is not recorded yet would have the worker forget it too, and run the task once more."""
+    job = JobRecord(submission(4), 0.0)
+    job.spec.kind = wire.BATCH
+    part, state = part_with(job, [assigned(i) for i in range(4)])
+    part.step(part.runs["job-1", 3], Phase.EXITED, wire.WHY_DONE)
+    pieces = records.split(WHERE, AllotRecord([assigned(i) for i in range(4)]), 2)
+    state.committed([Write(str(where), piece) for where, piece in pieces], 9)
+    part.take_records(state, [str(where) for where, _ in pieces], 1.0)
+    run = part.runs["job-1", 3]
+    assert (run.phase, run.where) == (Phase.EXITED, pieces[1][0])
+    assert part.machines["vm-3"].forget == {}
+    assert part.ends(state, 0.0) == {pieces[1][0]: {3: TaskEntry(3, records.ENDED, 1)}}
+
+
+def test_gang_members_are_given_machines_together_or_not_at_all() -> None:
+    record = AllotRecord([free(0, 2), free(1, 4)])
+    changes = {0: assigned(0, 5), 1: assigned(1, 5)}
+    new = merged(record, changes, gang=True)
+    assert new is not None
+    assert [entry.attempt for entry in new.tasks] == [5, 5]
+    assert merged(AllotRecord([free(0, 2), TaskEntry(1, records.RETURNED, 4)]), changes, gang=True) is None
+
+
+def test_an_unknown_task_state_teaches_nothing_and_is_logged_once(caplog: pytest.LogCaptureFixture) -> None:
+    part, _ = part_with(JobRecord(submission(1), 0.0), [assigned(0)])
+    task = wire.TaskReport("job-1/0", 1, "dreaming")
+    with caplog.at_level(logging.WARNING):
+        for seq in (1, 2, 3):
+            token = part.token(part.machines["vm-0"])
+            report = wire.Report("vm-0", "10.1.0.1:9000", "small", "a", 1, seq, token, [task])
+            part.on_report(report, float(seq))
+    assert part.runs["job-1", 0].phase is Phase.STARTING
+    assert [r.getMessage() for r in caplog.records].count("workers report the unknown task state 'dreaming'") == 1
+
+
+@given(st.integers(0, 300), st.integers(1, 60))
+def test_split_records_hold_every_task_once_and_no_more_than_allowed(tasks: int, most: int) -> None:
+    entries = [TaskEntry(i) for i in range(tasks)]
+    pieces = records.split(WHERE, AllotRecord(entries), most)
+    assert [entry for _, piece in pieces for entry in piece.tasks] == entries
+    assert all(len(piece.tasks) <= most for _, piece in pieces)
+    assert pieces[0][0] == WHERE
+    assert len({str(where) for where, _ in pieces}) == len(pieces)
+    assert all(AllotKey.parse(str(where)) == where for where, _ in pieces)
+
+
+def test_while_there_are_gangs_an_earlier_version_owns_nothing() -> None:
+    new = MemberRecord("n0", "x", "a", version=records.GANG_VERSION)
+    old = MemberRecord("n1", "y", "b")
+    members, parts = {"n0": new, "n1": old}, {"a": PartRecord("n0", 1), "b": PartRecord("n1", 1)}
+    assert assign_parts(["a", "b"], parts, members, set()) == {}
+    assert assign_parts(["a", "b"], parts, members, set(), gangs=True) == {"b": "n0"}
+    assert not gangs_supported(members)
+    assert gangs_supported({"n0": new})
+    assert not gangs_supported({})
+
+
+def test_room_for_a_gang_gathers_where_work_ends() -> None:
+    need = Need(2.0, 0.0, 1.0, None, False, 0, priority=2)
+    service = Need(4.0, 0.0, 1.0, None, False, 0, priority=0)
+    array = Need(4.0, 0.0, 1.0, None, False, 0, priority=1)
+    rooms = [Room(i, 0, 0, False, 4.0, 0.0, 16.0, 4.0, 0.0, 16.0) for i in range(3)]
+    rooms[0].take(service)
+    rooms[1].take(array)
+    assert [room.machine for room in gathering_rooms(need, rooms, 4)] == [2, 1]
+    assert gathering_rooms(need, rooms, 5) == []
