Whom to stop for a replica is asked once a round for tasks that ask for no less

Cause: while a fleet comes up, each waiting replica went through all machines of its part in each round.

--- a/spurarch/coordination/fit.py
+++ b/spurarch/coordination/fit.py
@@ -89,11 +89,15 @@
 
     def fits_by_preemption(self, need: Need) -> bool:
         """The task would fit if work of lower priority left."""
-        lower = self.by_priority[need.priority + 1 :]
+        cpus, gpus, memory = self.free_cpus, self.free_gpus, self.free_memory_gb
+        for used in self.by_priority[need.priority + 1 :]:
+            cpus += used[0]
+            gpus += used[1]
+            memory += used[2]
         return (
-            need.cpus <= self.free_cpus + sum(u[0] for u in lower) + EPSILON
-            and need.gpus <= self.free_gpus + sum(u[1] for u in lower) + EPSILON
-            and need.memory_gb <= self.free_memory_gb + sum(u[2] for u in lower) + EPSILON
+            need.cpus <= cpus + EPSILON
+            and need.gpus <= gpus + EPSILON
+            and need.memory_gb <= memory + EPSILON
             and self.allows(need)
         )
 
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -127,6 +127,7 @@
         self._reserved: dict[tuple[str, int], Room] = {}
         self._full: list[Need] = []
         self._lowers: dict[int, bool] = {}
+        self._unstoppable: list[Need] = []  # tasks for which nobody could be stopped
         self._elsewhere: dict[tuple[object, ...], int] = {}  # places found in other parts, by kind of task
         self._queued: dict[tuple[int, int], float] | None = None
         self._gathering = 0
@@ -297,7 +298,7 @@
             since = self.placer.since(key, self.now)
             if self._await_claim(where, job, entry):
                 continue
-            if lower and self._make_room(key, job.need, self.rooms, PREEMPT_WAIT_S):
+            if lower and self._make_room_anywhere(key, job.need):
                 continue
             if guaranteed and self.now - since > self.placer.guarantee_wait_s and self._take_back(key, job):
                 continue
@@ -496,7 +497,9 @@
             room = None if full else self._target(key, need) or best_fit(need, self._roomy)
             if room is None and self._reserved_rooms:
                 room = best_fit(need, self._reserved_rooms)  # a gang's reservation holds against arrays only
-            if room is not None and not self._has_image(room, need) and not self.placer.has_claim(key):
+            if room is not None and self._lower(need.priority) and not (
+                self._has_image(room, need) or self.placer.has_claim(key)
+            ):
                 having = [r for r in self.rooms if self._has_image(r, need)]
                 if self._make_room(key, need, having, IMAGE_WAIT_S):
                     continue
@@ -507,7 +510,7 @@
             full = True  # all tasks of a job need the same
             self.waiting.add(key)
             since = self.placer.since(key, self.now)
-            if self._make_room(key, need, self.rooms, PREEMPT_WAIT_S):
+            if self._make_room_anywhere(key, need):
                 continue
             if self.now - since > self._patience() and (self._stuck(since) or self._better_elsewhere(job)):
                 self._give_back(where, entry)
@@ -517,6 +520,19 @@
 
     # Whom to stop
 
+    def _make_room_anywhere(self, key: tuple[str, int], need: Need) -> bool:
+        """The same on any machine of the part. Room only shrinks in the course of a round, so what found nobody to stop
+        is not looked for again by tasks that ask for no less: to do so for every replica that waits took most of an
+        owner's processor time while a large fleet came up."""
+        if not self._lower(need.priority):
+            return False
+        if any(need.priority >= other.priority and need.asks_no_less(other) for other in self._unstoppable):
+            return False
+        if self._make_room(key, need, self.rooms, PREEMPT_WAIT_S):
+            return True
+        self._unstoppable.append(need)
+        return False
+
     def _make_room(self, key: tuple[str, int], need: Need, rooms: list[Room], wait_s: float) -> bool:
         """Stops the youngest tasks of lower priority on the machine that loses the fewest of them."""
         best: list[TaskRun] = []
