--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -364,7 +364,9 @@
             return self._stopping_room(job, open_to) or self._coming_room(job, open_to, held)
         if need.image not in room.images:
             # Work of lower priority can leave faster than an image can be fetched.
-            return self._by_preemption(job, [r for r in self.rooms if r.zone in level and need.image in r.images]) or room
+            return (
+                self._by_preemption(job, [r for r in self.rooms if r.zone in level and need.image in r.images]) or room
+            )
         return room
 
     def _stopping_room(self, job: JobView, open_to: list[int]) -> Room | None:
--- a/spurarch/coordination/gang.py
+++ b/spurarch/coordination/gang.py
@@ -39,7 +39,13 @@
 _NEXT = {
     GangState.WAITING: set(GangState),
     GangState.ASSIGNING: set(GangState),
-    GangState.STARTING: {GangState.GATHERING, GangState.RUNNING, GangState.STOPPING, GangState.WAITING, GangState.ENDED},
+    GangState.STARTING: {
+        GangState.GATHERING,
+        GangState.RUNNING,
+        GangState.STOPPING,
+        GangState.WAITING,
+        GangState.ENDED,
+    },
     GangState.GATHERING: {GangState.RUNNING, GangState.STOPPING, GangState.WAITING, GangState.ENDED},
     GangState.RUNNING: {GangState.STOPPING, GangState.WAITING, GangState.ENDED},
     GangState.STOPPING: {GangState.WAITING, GangState.ENDED},
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -262,7 +262,9 @@
         if part.free:
             deadline = now + self.tuning.budget_ms / 1000
             held.placer.scarce = self.replica.store.write_level() < SCARCE_LEVEL
-            placed = held.placer.run(part, self.view, now, lambda: time.monotonic() > deadline, MOST_PLACED, time.time())
+            placed = held.placer.run(
+                part, self.view, now, lambda: time.monotonic() > deadline, MOST_PLACED, time.time()
+            )
             if self._can.fresh(now):
                 for run in placed.preempt:
                     log.info("preempting %s/%d on %s", *run.key, run.machine)
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -72,7 +72,9 @@
         self._next_full = 0.0
         self._chunk = records.tasks_per_record(deployment.state.value_bytes)
         self._most_changes = deployment.state.transaction_changes
-        self._most_guards = deployment.state.transaction_guards - self._most_changes - 1  # beside written keys and leader
+        self._most_guards = (
+            deployment.state.transaction_guards - self._most_changes - 1
+        )  # beside written keys and leader
 
     async def run(self) -> None:
         """Rounds of the leader: on news, and every now and then."""
@@ -234,7 +236,9 @@
             record = self.replica.state.allots[source.job][source]
             left = [e for e in record.tasks if e.index not in indices]
             if left:
-                out += [Write(str(where), part) for where, part in records.split(source, AllotRecord(left), self._chunk)]
+                out += [
+                    Write(str(where), part) for where, part in records.split(source, AllotRecord(left), self._chunk)
+                ]
             else:
                 out.append(Write(str(source), None))
         return out
--- a/spurarch/coordination/membership.py
+++ b/spurarch/coordination/membership.py
@@ -79,7 +79,9 @@
     Everybody serves users; holders record starts and ends, and the leader admits. The shares of all add up to one as
     long as they agree on who does what.
     """
-    weights = {n: (2.0 + holders.count(n) + (n == leader), 2.0 + 4.0 * holders.count(n) + 6.0 * (n == leader)) for n in nodes}
+    weights = {
+        n: (2.0 + holders.count(n) + (n == leader), 2.0 + 4.0 * holders.count(n) + 6.0 * (n == leader)) for n in nodes
+    }
     requests, writes = (sum(w[i] for w in weights.values()) for i in (0, 1))
     return {n: (w[0] / requests, w[1] / writes) for n, w in weights.items()}
 
@@ -173,7 +175,9 @@
             return
         if leader is None or (leader.node == self.node and leader.boot != self.boot) or self._outdated(leader):
             outcome = await self.replica.commit(
-                [Write(records.LEADER, LeaderRecord(self.node, self.boot), self._lease)], give_up_s=2.0, urgency=Urgency.MEMBERSHIP
+                [Write(records.LEADER, LeaderRecord(self.node, self.boot), self._lease)],
+                give_up_s=2.0,
+                urgency=Urgency.MEMBERSHIP,
             )
             if outcome.verdict is Verdict.DONE:
                 log.info("leading")
@@ -195,9 +199,7 @@
             if self._seen.get(node, ("", 0.0))[0] != member.boot:
                 self._seen[node] = member.boot, now
         settled = {n for n, (_, at) in self._seen.items() if n in state.members and now - at >= HOME_AFTER_S}
-        for zone, node in assign_parts(
-            self.zones, state.parts, state.members, settled, self._gangs()
-        ).items():
+        for zone, node in assign_parts(self.zones, state.parts, state.members, settled, self._gangs()).items():
             part = state.parts.get(zone)
             record = PartRecord(node, part.epoch + 1 if part else 1)
             log.info("part %s goes to %s (epoch %d)", zone, node, record.epoch)
--- a/spurarch/coordination/part.py
+++ b/spurarch/coordination/part.py
@@ -68,7 +68,9 @@
         self.trouble: dict[str, JobTrouble] = defaultdict(JobTrouble)
         self.dark = False  # nobody hears its workers
         self.ready = False  # the records of this part have been read since it was claimed
-        self.cancelled_ago: Callable[[str], float | None] = lambda job: None  # seconds since a job was cancelled, if it was
+        self.cancelled_ago: Callable[[str], float | None] = (
+            lambda job: None
+        )  # seconds since a job was cancelled, if it was
         self.called_off: dict[str, None] = {}  # machines that may hold tasks of cancelled jobs
         self.over: dict[AllotKey, dict[int, TaskRun]] = defaultdict(dict)  # ended or gone, and not recorded as that
         self.attention: dict[str, None] = {}  # machines that may need a command
@@ -451,7 +453,11 @@
             if run.stop:
                 if run.phase < Phase.EXITED and not self._saving(run):
                     out.append(wire.Command(wire.STOP, name, run.attempt, run.grace_s))
-            elif run.phase in (Phase.ASSIGNED, Phase.STARTING) and run.session == machine.session and self._startable(run):
+            elif (
+                run.phase in (Phase.ASSIGNED, Phase.STARTING)
+                and run.session == machine.session
+                and self._startable(run)
+            ):
                 self.step(run, Phase.STARTING)
                 out.append(wire.Command(wire.START, name, run.attempt))
         return out
@@ -474,7 +480,9 @@
         return [
             wire.Command(wire.STOP, task.task, task.attempt, 0.0)
             for task in report.tasks
-            if task.state != wire.EXITED and (key := wire.split_task(task.task)) and self.cancelled_ago(key[0]) is not None
+            if task.state != wire.EXITED
+            and (key := wire.split_task(task.task))
+            and self.cancelled_ago(key[0]) is not None
         ]
 
     def _clean(self, machine: Machine, report: wire.Report) -> list[wire.Command]:
@@ -522,7 +530,9 @@
             if run.stop and run.grace_s == 0 and run.phase < Phase.EXITED
         ]
 
-    def direct_answered(self, machine: Machine, sent: wire.DirectCommands, report: wire.Report | None, now: float) -> None:
+    def direct_answered(
+        self, machine: Machine, sent: wire.DirectCommands, report: wire.Report | None, now: float
+    ) -> None:
         """An answer to direct commands came: executed or refused, they are not on their way any more."""
         machine.in_flight -= 1
         if report is None or report.machine != machine.name:
@@ -599,7 +609,9 @@
 
     def overdue(self, machine: Machine) -> float | None:
         """Since when a cancelled task may be on a machine that has not shown that it left."""
-        times = [r.called_off_at for r in machine.runs.values() if r.called_off_at is not None and r.phase < Phase.EXITED]
+        times = [
+            r.called_off_at for r in machine.runs.values() if r.called_off_at is not None and r.phase < Phase.EXITED
+        ]
         if machine.called_off_at is not None:
             times.append(machine.called_off_at)
         return min(times, default=None)
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -354,7 +354,9 @@
             for room in self.view.rooms.values():
                 if room.open and room.zone not in closed and room.allows(need):
                     places[room.zone] = places.get(room.zone, 0) + (
-                        room.slots(need, MOST_SLOTS) if room.fits(need) else job.service and room.fits_by_preemption(need)
+                        room.slots(need, MOST_SLOTS)
+                        if room.fits(need)
+                        else job.service and room.fits_by_preemption(need)
                     )
             self._elsewhere[shape] = sum(
                 max(0, count - int(queued[zone] / need.cpus)) if need.cpus > 0 else count
@@ -497,8 +499,10 @@
             room = None if full else self._target(key, need) or best_fit(need, self._roomy)
             if room is None and self._reserved_rooms:
                 room = best_fit(need, self._reserved_rooms)  # a gang's reservation holds against arrays only
-            if room is not None and self._lower(need.priority) and not (
-                self._has_image(room, need) or self.placer.has_claim(key)
+            if (
+                room is not None
+                and self._lower(need.priority)
+                and not (self._has_image(room, need) or self.placer.has_claim(key))
             ):
                 having = [r for r in self.rooms if self._has_image(r, need)]
                 if self._make_room(key, need, having, IMAGE_WAIT_S):
--- a/spurarch/coordination/refining.py
+++ b/spurarch/coordination/refining.py
@@ -42,7 +42,9 @@
     return out
 
 
-def refine(part: Part, view: FleetView, tuning: Tuning, now: float, random: Random, late: Callable[[], bool]) -> Refinement:
+def refine(
+    part: Part, view: FleetView, tuning: Tuning, now: float, random: Random, late: Callable[[], bool]
+) -> Refinement:
     """One round of a part."""
     out = Refinement()
     names, rooms, tasks, runs = _tables(part, view, tuning)
--- a/spurarch/coordination/returns.py
+++ b/spurarch/coordination/returns.py
@@ -69,7 +69,12 @@
     async def watch_overdue(self, held: Held, now: float) -> None:
         """Returns machines whose cancelled tasks won't show that they left, whether or not the state service answers."""
         part = held.part
-        if not part.called_off or now < held.next_overdue or not self._can.steady(now) or self._can.superseded(part.zone):
+        if (
+            not part.called_off
+            or now < held.next_overdue
+            or not self._can.steady(now)
+            or self._can.superseded(part.zone)
+        ):
             return
         held.next_overdue = now + RETURNS_S
         found = overdue_machines(part, self.deployment.workers, now, held.cut, self._pulse.woke_at)
--- a/spurarch/coordination/view.py
+++ b/spurarch/coordination/view.py
@@ -183,7 +183,9 @@
                 wants = self._wanted[job.ref]
                 cpus[job.team] += wants * job.need.cpus
                 gpus[job.team] += wants * job.need.gpus
-                if cpus[job.team] <= team.cpus + EPSILON and (gpus[job.team] <= team.gpus + EPSILON or job.need.gpus == 0):
+                if cpus[job.team] <= team.cpus + EPSILON and (
+                    gpus[job.team] <= team.gpus + EPSILON or job.need.gpus == 0
+                ):
                     out.add(job.ref)
         return self._guaranteed
 
--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -135,7 +135,9 @@
 class Worker:
     """One machine with its worker."""
 
-    def __init__(self, world: World, name: str, kind: Kind, zone: str, spot: bool, nodes: list[tuple[str, str]]) -> None:
+    def __init__(
+        self, world: World, name: str, kind: Kind, zone: str, spot: bool, nodes: list[tuple[str, str]]
+    ) -> None:
         self.world, self.name, self.kind, self.zone, self.spot = world, name, kind, zone, spot
         self.addr = f"10.1.0.{name[3:].lstrip('0') or '0'}:9000"
         self.nodes, self.node = nodes, 0
@@ -157,8 +159,13 @@
         self.seq += 1
         now = self.world.clock.now
         legs = [
-            {"leg": t.name, "try": t.attempt, "standing": t.state, **({"cause": t.why} if t.why else {}),
-             **({"stored": True} if t.saved else {})}
+            {
+                "leg": t.name,
+                "try": t.attempt,
+                "standing": t.state,
+                **({"cause": t.why} if t.why else {}),
+                **({"stored": True} if t.saved else {}),
+            }
             for t in self.tasks.values()
         ]
         warning = None if self.notice_until is None else max(0.0, self.notice_until - now)
@@ -414,7 +421,9 @@
         if body["hire"] in self.hires:
             return answer(200, {"crofts": self.hires[body["hire"]]})
         kind = self.kinds[body["build"]]
-        held = sum(m["kind"] is kind and m["zone"] == body["district"] and not m["gone"] for m in self.machines.values())
+        held = sum(
+            m["kind"] is kind and m["zone"] == body["district"] and not m["gone"] for m in self.machines.values()
+        )
         count = min(body["how_many"], kind.capacity - held)
         if count <= 0:
             return answer(503, {"error": "no capacity"})
--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -103,7 +103,9 @@
     async def request(self, method: str, target: str, body: bytes | None, timeout_s: float) -> tuple[int, bytes]:
         """Like HttpClient.request."""
         await self._network.living()
-        response = await self._wire.request(self._source, self._address, Request(method, target, body or b""), timeout_s)
+        response = await self._wire.request(
+            self._source, self._address, Request(method, target, body or b""), timeout_s
+        )
         await self._network.living()
         return response.status, response.body
 
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -300,7 +300,9 @@
             outside = [node for node, _ in self.nodes if node not in inside]
             hosts = [w.name for w in self.world.workers.values() if w.zone == args[0]] + sorted(inside)
             self.wire.cuts += [
-                Cut(host, node, now + float(opts["for"]), opts.get("mode", "drop")) for host in hosts for node in outside
+                Cut(host, node, now + float(opts["for"]), opts.get("mode", "drop"))
+                for host in hosts
+                for node in outside
             ]
         elif action == "notice":
             self.world.workers[args[0]].notice_until = now + float(opts["for"])
--- a/tests/sim/store.py
+++ b/tests/sim/store.py
@@ -177,8 +177,14 @@
         their conditions met again, except the ones that create nothing but keys that begin with `but`."""
         again = []
         for body in list(self._carried):
-            created = [g["key"] for g in body["guards"] if g["stamp"] == 0 and g["key"] in {o.get("write") for o in body["then"]}]
-            for kind in {key.rsplit("/", 1)[0] if key.startswith("final") else "/".join(key.split("/")[:2]) for key in created}:
+            created = [
+                g["key"]
+                for g in body["guards"]
+                if g["stamp"] == 0 and g["key"] in {o.get("write") for o in body["then"]}
+            ]
+            for kind in {
+                key.rsplit("/", 1)[0] if key.startswith("final") else "/".join(key.split("/")[:2]) for key in created
+            }:
                 self.repeated[kind] = self.repeated.get(kind, 0) + 1
             self._rates["writes"] = 1e9, 1e9, self.clock.now
             if self._txn(body).status == 200 and not all(op.get("write", "").startswith(but) for op in body["then"]):
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -72,7 +72,9 @@
     assert gang_of(free(0, 3), free(1, 5)).next_attempt() == 6
 
 
-@pytest.mark.parametrize("why", [wire.WHY_PEERS, wire.WHY_INCOMPLETE, wire.WHY_ERROR, wire.WHY_STOPPED, wire.WHY_NO_ROOM])
+@pytest.mark.parametrize(
+    "why", [wire.WHY_PEERS, wire.WHY_INCOMPLETE, wire.WHY_ERROR, wire.WHY_STOPPED, wire.WHY_NO_ROOM]
+)
 def test_all_leave_once_one_has_left(why: str) -> None:
     gang = gang_of(assigned(0), assigned(1), assigned(2))
     for run in gang.members.values():
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -24,7 +24,15 @@
 def _returns(**parts: Any) -> Returns:
     given = {"can": SimpleNamespace(reach=None), "held": {}, "replica": None, "cloud": None, **parts}
     return Returns(
-        given["replica"], None, None, given["cloud"], given["can"], None, None, None, given["held"],  # type: ignore[arg-type]
+        given["replica"],
+        None,
+        None,
+        given["cloud"],
+        given["can"],
+        None,
+        None,
+        None,
+        given["held"],  # type: ignore[arg-type]
     )
 
 
