--- a/spurarch/bookkeeping/cloud.py
+++ b/spurarch/bookkeeping/cloud.py
@@ -11,7 +11,7 @@
 
 from spurarch.bookkeeping.limits import TokenBucket
 from spurarch.protocol import wire
-from spurarch.transport.http import NoAnswer
+from spurarch.transport.http import NoAnswerError
 from spurarch.transport.network import Requests
 
 log = logging.getLogger(__name__)
@@ -20,7 +20,7 @@
 RATE_SHARE = 0.95
 
 
-class CloudTrouble(Exception):
+class CloudError(Exception):
     """A call was not served. `unsure` says that it may have been, or may be later."""
 
     def __init__(self, reason: str, unsure: bool = False) -> None:
@@ -28,7 +28,7 @@
         self.unsure = unsure
 
 
-class NoCapacity(Exception):
+class NoCapacityError(Exception):
     """The cloud has no such machine now."""
 
 
@@ -50,17 +50,17 @@
         while delay := self._bucket.delay(time.monotonic(), 1):
             await curio.sleep(delay)
         if not still():
-            raise CloudTrouble("no longer wanted")
+            raise CloudError("no longer wanted")
         try:
             status, answer = await self._client.request(method, target, body, CALL_S)
-        except NoAnswer as err:
-            raise CloudTrouble(str(err), err.sent) from None
+        except NoAnswerError as err:
+            raise CloudError(str(err), err.sent) from None
         if status == 429:
             self._bucket.penalize(time.monotonic())
         if status == 503 and b"capacity" in answer:
-            raise NoCapacity
+            raise NoCapacityError
         if status != 200:
-            raise CloudTrouble(f"status {status}")
+            raise CloudError(f"status {status}")
         return status, answer
 
     async def types(self) -> list[wire.MachineType]:
@@ -81,8 +81,10 @@
             after = page.machines[-1].id
 
     async def rent(self, rental: wire.Rental, still: Callable[[], bool]) -> list[str]:
-        """Rents machines; the same request may be repeated without renting twice. `still` is asked at the last moment
-        whether the caller may do this."""
+        """Rents machines; the same request may be repeated without renting twice.
+
+        `still` is asked at the last moment whether the caller may do this.
+        """
         _, answer = await self._call("POST", wire.PATH_MACHINES, wire.encode(rental), still)
         return _decode(wire.names_decoder, answer).machines
 
@@ -95,4 +97,4 @@
     try:
         return decoder.decode(answer)
     except msgspec.DecodeError as err:
-        raise CloudTrouble(f"unreadable answer: {err}", True) from None
+        raise CloudError(f"unreadable answer: {err}", True) from None
--- a/spurarch/bookkeeping/records.py
+++ b/spurarch/bookkeeping/records.py
@@ -26,8 +26,11 @@
 
 
 class JobRecord(Struct):
-    """A job that is not over. `at` is the wall clock of its submission and only orders jobs; `cancelled_at` that of its
-    cancellation, by which a holder that learns of it late knows what is left of `cancel_s`."""
+    """A job that is not over.
+
+    `at` is the wall clock of its submission and only orders jobs; `cancelled_at` that of its cancellation, by which a
+    holder that learns of it late knows what is left of `cancel_s`.
+    """
 
     spec: Submission
     at: float
@@ -70,10 +73,13 @@
 
 
 class MemberRecord(Struct):
-    """A controller that lives. `unfit` are the zones whose workers it seems not to hear, while others do; `dark` those
-    of its parts whose workers nobody hears.
+    """A controller that lives.
 
-    `version` says what the process can do, see `PROGRAM_VERSION`. Versions before gangs neither write nor know it."""
+    `unfit` are the zones whose workers it seems not to hear, while others do; `dark` those of its parts whose workers
+    nobody hears.
+
+    `version` says what the process can do, see `PROGRAM_VERSION`. Versions before gangs neither write nor know it.
+    """
 
     node: str
     boot: str
@@ -155,6 +161,7 @@
     chunk: int
 
     def __str__(self) -> str:
+        """The key in the state service."""
         return f"{ALLOT}{self.zone}/{self.job}/{self.chunk}"
 
     @staticmethod
--- a/spurarch/bookkeeping/replica.py
+++ b/spurarch/bookkeeping/replica.py
@@ -31,7 +31,7 @@
     PartRecord,
     Record,
 )
-from spurarch.bookkeeping.store import Outcome, Store, TooOld, Unavailable, Verdict
+from spurarch.bookkeeping.store import Outcome, RevisionTooOldError, Store, StoreUnavailableError, Verdict
 from spurarch.protocol import wire
 
 log = logging.getLogger(__name__)
@@ -279,9 +279,9 @@
                 self.synced_at = max(self.synced_at, sent)
                 self.reachable = True
                 await curio.sleep(max(WATCH_PAUSE_S, 1 / (READS_SHARE * self.store.request_rate)))
-            except TooOld:
+            except RevisionTooOldError:
                 self.loaded = False
-            except Unavailable as err:
+            except StoreUnavailableError as err:
                 log.log(logging.INFO if self.reachable else logging.DEBUG, "watch: %s", err)
                 self.reachable = False
                 await curio.sleep(0.3)
@@ -297,11 +297,11 @@
             try:
                 started = time.monotonic()
                 if not self.loaded:
-                    raise Unavailable("not loaded")
+                    raise StoreUnavailableError("not loaded")
                 await self._apply(await self.store.watch(self.state.revision, 0))
                 self.synced_at = max(self.synced_at, started)
                 batch.good = True
-            except (Unavailable, TooOld) as err:
+            except (StoreUnavailableError, RevisionTooOldError) as err:
                 log.debug("sync: %s", err)
             await batch.ready.set()
             await curio.sleep(max(SYNC_PAUSE_S, 1 / (READS_SHARE * self.store.request_rate)))
--- a/spurarch/bookkeeping/store.py
+++ b/spurarch/bookkeeping/store.py
@@ -13,7 +13,7 @@
 from spurarch.bookkeeping.limits import AdaptiveFactor, TokenBucket, Urgency
 from spurarch.protocol import wire
 from spurarch.settings import StateLimits
-from spurarch.transport.http import NoAnswer
+from spurarch.transport.http import NoAnswerError
 from spurarch.transport.network import Requests
 
 log = logging.getLogger(__name__)
@@ -52,11 +52,11 @@
     failed: list[str] = field(default_factory=list)
 
 
-class Unavailable(Exception):
+class StoreUnavailableError(Exception):
     """The state service did not serve a call."""
 
 
-class TooOld(Exception):
+class RevisionTooOldError(Exception):
     """A watch asked for changes that the service no longer has."""
 
 
@@ -148,10 +148,10 @@
     async def _read(self, target: str, wait_s: float = 0.0) -> tuple[int, bytes]:
         try:
             status, answer = await self._call("GET", target, None, wait_s)
-        except NoAnswer as err:
-            raise Unavailable(str(err)) from None
+        except NoAnswerError as err:
+            raise StoreUnavailableError(str(err)) from None
         if status in (429, 503):
-            raise Unavailable(str(status))
+            raise StoreUnavailableError(str(status))
         return status, answer
 
     async def get(self, key: str) -> wire.Item | None:
@@ -160,14 +160,14 @@
         if status == 404:
             return None
         if status != 200:
-            raise Unavailable(f"status {status}")
+            raise StoreUnavailableError(f"status {status}")
         return _decode(wire.item_decoder, answer)
 
     async def page(self, prefix: str, after: str | None) -> wire.Page:
         """Reads a page of keys."""
         status, answer = await self._read(f"{wire.PATH_KV}?{wire.query(prefix=prefix, after=after, limit=1000)}")
         if status != 200:
-            raise Unavailable(f"status {status}")
+            raise StoreUnavailableError(f"status {status}")
         return _decode(wire.page_decoder, answer)
 
     async def watch(self, after: int, wait_ms: int) -> wire.Changes:
@@ -175,9 +175,9 @@
         target = f"{wire.PATH_WATCH}?{wire.query(prefix='', after=after, wait_ms=wait_ms)}"
         status, answer = await self._read(target, wait_ms / 1000)
         if status == 410:
-            raise TooOld
+            raise RevisionTooOldError
         if status != 200:
-            raise Unavailable(f"status {status}")
+            raise StoreUnavailableError(f"status {status}")
         return _decode(wire.changes_decoder, answer)
 
     def ready(self, urgency: Urgency) -> bool:
@@ -198,7 +198,7 @@
             # Whoever got past the rate of changes goes before reads, which are many and can wait.
             urgency = Urgency.MEMBERSHIP if urgency is Urgency.MEMBERSHIP else Urgency.USERS
             status, answer = await self._call("POST", wire.PATH_TXN, wire.encode(txn), urgency=urgency)
-        except NoAnswer as err:
+        except NoAnswerError as err:
             return Outcome(Verdict.UNKNOWN if err.sent else Verdict.REFUSED)
         try:
             if status == 200:
@@ -224,7 +224,7 @@
             status, answer = await self._call(
                 "POST", wire.PATH_GRANTS, wire.encode(wire.GrantRequest(int(ttl_s * 1000))), urgency=Urgency.MEMBERSHIP
             )
-        except NoAnswer:
+        except NoAnswerError:
             return None
         return _decode(wire.grant_decoder, answer).lease if status == 200 else None
 
@@ -233,7 +233,7 @@
         target = f"{wire.PATH_GRANTS}/{lease}/{wire.PATH_EXTEND}"
         try:
             status, _ = await self._call("POST", target, b"{}", urgency=Urgency.MEMBERSHIP)
-        except NoAnswer:
+        except NoAnswerError:
             return None
         return True if status == 200 else False if status == 404 else None
 
@@ -242,4 +242,4 @@
     try:
         return decoder.decode(answer)
     except msgspec.DecodeError as err:
-        raise Unavailable(f"unreadable answer: {err}") from None
+        raise StoreUnavailableError(f"unreadable answer: {err}") from None
--- a/spurarch/cli.py
+++ b/spurarch/cli.py
@@ -109,7 +109,7 @@
     import curio
 
     from spurarch.protocol import wire
-    from spurarch.transport.http import HttpClient, NoAnswer
+    from spurarch.transport.http import HttpClient, NoAnswerError
 
     body: bytes | None = None
     if args.command == "submit":
@@ -129,7 +129,7 @@
 
     try:
         status, answer = curio.run(call)
-    except (NoAnswer, ValueError) as err:
+    except (NoAnswerError, ValueError) as err:
         print(f"spurarch: {args.node}: {err}", file=sys.stderr)
         return FAILED
     print(answer.decode(errors="replace"))
--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -261,8 +261,11 @@
     def _drop_small_pieces(
         self, job: JobView, booked: list[tuple[Room, int]], zones: dict[int, int], count: int
     ) -> None:
-        """Leaves room for a few tasks alone until there is more of it: every piece of a job costs changes of its own, at
-        its admission, starts and ends. The rest of a job goes however small it is."""
+        """Leaves room for a few tasks alone until there is more of it.
+
+        Every piece of a job costs changes of its own, at its admission, starts and ends. The rest of a job goes however
+        small it is.
+        """
         small = {zone for zone, number in zones.items() if number < min(self.piece, count)}
         for room, number in booked:
             if room.zone in small:
@@ -284,8 +287,10 @@
         return self._able[need.shape]
 
     def _ahead_of_time(self, job: JobView, home: int | None, count: int) -> dict[int, int]:
-        """Tasks for parts that will soon free room for them: first where most machines have their image, then the
-        emptiest queue."""
+        """Tasks for parts that will soon free room for them.
+
+        First where most machines have their image, then the emptiest queue.
+        """
         out: dict[int, int] = {}
         if job.need.cpus <= 0:
             return out
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -14,7 +14,7 @@
 from spurarch.bookkeeping.cloud import Cloud
 from spurarch.bookkeeping.limits import lend
 from spurarch.bookkeeping.replica import Replica
-from spurarch.bookkeeping.store import Store, Unavailable
+from spurarch.bookkeeping.store import Store, StoreUnavailableError
 from spurarch.coordination.holder import Holder, direct_connections
 from spurarch.coordination.leader import Leader
 from spurarch.coordination.membership import Membership, rate_shares
@@ -125,7 +125,7 @@
                 await self.replica.load_small()
                 await self.membership.claim()
                 break
-            except Unavailable as err:
+            except StoreUnavailableError as err:
                 log.info("start: %s", err)
                 await curio.sleep(0.2)
         async with curio.TaskGroup(wait=any) as group:
--- a/spurarch/coordination/entitlement.py
+++ b/spurarch/coordination/entitlement.py
@@ -37,8 +37,10 @@
         return now - self.replica.synced_at < FRESH_S and self.steady(now)
 
     def owns(self, part: Part) -> bool:
-        """The part is still held as it was when this was begun: not by another, and not anew by ourselves, whose earlier
-        knowledge of it would then be as stale as a stranger's."""
+        """The part is still held as it was when this was begun.
+
+        Not by another, and not anew by ourselves, whose earlier knowledge of it would then be as stale as a stranger's.
+        """
         record = self.membership.holds(part.zone)
         return record is not None and record.epoch == part.epoch
 
--- a/spurarch/coordination/gang.py
+++ b/spurarch/coordination/gang.py
@@ -169,9 +169,6 @@
         self._attempts: dict[str, GangAttempt] = {}
         self._changed: dict[str, None] = {}
 
-    def __len__(self) -> int:
-        return len(self._attempts)
-
     def get(self, job: str) -> GangAttempt | None:
         """A gang by its job."""
         return self._attempts.get(job)
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/holder.py
@@ -30,7 +30,7 @@
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import Deployment, Tuning
-from spurarch.transport.http import NoAnswer
+from spurarch.transport.http import NoAnswerError
 from spurarch.transport.network import Network, Requests
 
 log = logging.getLogger(__name__)
@@ -54,8 +54,11 @@
 
 
 def direct_connections(sockets: int) -> int:
-    """Connections to workers at a time: all of a fleet may need commands in the same second, and workers' own reports,
-    which bring the same commands, need the other sockets."""
+    """Connections to workers at a time.
+
+    All of a fleet may need commands in the same second, and workers' own reports, which bring the same commands, need
+    the other sockets.
+    """
     return max(8, min(DIRECT_MOST, sockets // DIRECT_SHARE))
 
 
@@ -151,8 +154,10 @@
     # Rounds
 
     async def run(self) -> None:
-        """Notices which parts are held, and hands news to each. Every part works in a task of its own, so that none
-        waits in line behind another's transactions."""
+        """Notices which parts are held, and hands news to each.
+
+        Every part works in a task of its own, so that none waits in line behind another's transactions.
+        """
         while True:
             await curio.ignore_after(TICK_S, self._bell.wait)
             self._bell.clear()
@@ -195,9 +200,12 @@
             await curio.sleep(PAUSE_S)
 
     async def _run_commands(self, held: Held) -> None:
-        """Stops and starts go out while transactions wait in line: a cancelled job's tasks have to leave in time,
-        however short changes are (docs/incidents/2026-12-02-commands-behind-records.md). Silence is judged here too: in
-        a round it was found late, and a controller cut from its workers returned them before it noticed."""
+        """Stops and starts go out while transactions wait in line.
+
+        A cancelled job's tasks have to leave in time, however short changes are (docs/incidents/2026-12-02-commands-
+        behind-records.md). Silence is judged here too: in a round it was found late, and a controller cut from its
+        workers returned them before it noticed.
+        """
         while self.held.get(held.part.zone) is held and self._can.owns(held.part):
             await curio.sleep(TICK_S)
             try:
@@ -406,8 +414,11 @@
         return out
 
     def _writes_of(self, part: Part, change: _Change) -> list[Write]:
-        """The change as it applies now, or nothing. Another one's transaction may have come between its planning and this moment:
-        writing back an allotment as it was then would bring back tasks that the leader has moved since."""
+        """The change as it applies now, or nothing.
+
+        Another one's transaction may have come between its planning and this moment: writing back an allotment as it
+        was then would bring back tasks that the leader has moved since.
+        """
         if change.where is None:
             return [change.write] if change.write is not None else []
         record = self.replica.state.zone_allots[part.zone].get(change.where)
@@ -485,7 +496,7 @@
         part, client = held.part, self._client(machine.addr)
         try:
             status, answer = await client.request("POST", wire.PATH_COMMANDS, wire.encode(sent), DIRECT_S)
-        except NoAnswer as err:
+        except NoAnswerError as err:
             log.debug("no answer from %s: %s", machine.name, err)
             part.direct_lost(machine, sent, err.sent)
             return
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -10,7 +10,7 @@
 import curio
 
 from spurarch.bookkeeping import records
-from spurarch.bookkeeping.cloud import Cloud, CloudTrouble, NoCapacity
+from spurarch.bookkeeping.cloud import Cloud, CloudError, NoCapacityError
 from spurarch.bookkeeping.limits import Urgency
 from spurarch.bookkeeping.records import AdmissionRecord, AllotKey, AllotRecord, FinalRecord, TaskEntry
 from spurarch.bookkeeping.replica import Replica, Write
@@ -140,8 +140,11 @@
     # Admission
 
     def _as_planned(self, ref: str) -> dict[str, int]:
-        """Versions of what an admission of the job is decided by. A plan may wait while an earlier one is carried out:
-        tasks that this one moved are somewhere else by then, and moving them again would run them twice."""
+        """Versions of what an admission of the job is decided by.
+
+        A plan may wait while an earlier one is carried out: tasks that this one moved are somewhere else by then, and
+        moving them again would run them twice.
+        """
         state = self.replica.state
         keys = [records.ADMISSION + ref, *(str(where) for where in state.allots.get(ref, {}))]
         return {key: state.version(key) for key in keys}
@@ -258,8 +261,10 @@
     # Ends of jobs
 
     async def run_ends(self) -> None:
-        """Ends of jobs have rounds of their own: when changes are short they wait in line, and admission must not wait
-        with them."""
+        """Ends of jobs have rounds of their own.
+
+        When changes are short they wait in line, and admission must not wait with them.
+        """
         while True:
             await curio.sleep(ENDS_PAUSE_S)
             try:
@@ -348,8 +353,10 @@
     # The cloud
 
     def _still(self) -> bool:
-        """This process leads as far as a recent copy shows: one that stood still would rent a second time, or return
-        machines that the next leader uses by now."""
+        """This process leads as far as a recent copy shows.
+
+        One that stood still would rent a second time, or return machines that the next leader uses by now.
+        """
         now = time.monotonic()
         fresh = now - self.replica.synced_at < FRESH_S and self._pulse.steady(now, self.replica.synced_at)
         return self.membership.leading and fresh
@@ -369,7 +376,7 @@
                         await self._list()
                         list_at = now
                     await self._rent()
-            except (CloudTrouble, NoCapacity) as err:
+            except (CloudError, NoCapacityError) as err:
                 log.info("cloud: %s", err or "no capacity")
             except curio.CancelledError:
                 raise
@@ -431,11 +438,11 @@
             try:
                 names = await self.cloud.rent(rental, self._still)
                 break
-            except NoCapacity:
+            except NoCapacityError:
                 log.info("no capacity: %s", kind)
                 self._closed[kind] = time.monotonic() + self.tuning.capacity_backoff_s
                 return
-            except CloudTrouble as err:
+            except CloudError as err:
                 log.info("rental %s: %s", rental.request, err)
                 if not err.unsure:
                     return
--- a/spurarch/coordination/part.py
+++ b/spurarch/coordination/part.py
@@ -204,8 +204,10 @@
             self._call_off(run)
 
     def _rehome(self, state: State, run: TaskRun) -> bool:
-        """Follows a task whose entry went to another record of the same job, as when a record is split. Its state is
-        kept: forgetting an end that is not recorded yet would have the task run once more."""
+        """Follows a task whose entry went to another record of the same job, as when a record is split.
+
+        Its state is kept: forgetting an end that is not recorded yet would have the task run once more.
+        """
         for where, record in state.allots.get(run.where.job, {}).items():
             if where.zone != self.zone or where == run.where:
                 continue
@@ -475,8 +477,11 @@
         return gang is None or gang.startable
 
     def _called_off(self, report: wire.Report) -> list[wire.Command]:
-        """Stops what is known to be cancelled. That needs no record, and may have to be done before the records can be
-        read: a part may change hands just before an outage that is longer than `cancel_s`."""
+        """Stops what is known to be cancelled.
+
+        That needs no record, and may have to be done before the records can be read: a part may change hands just
+        before an outage that is longer than `cancel_s`.
+        """
         return [
             wire.Command(wire.STOP, task.task, task.attempt, 0.0)
             for task in report.tasks
@@ -522,8 +527,10 @@
         return wire.DirectCommands(self.token(machine), machine.session, commands)
 
     def _stops(self, machine: Machine) -> list[wire.Command]:
-        """What may be sent while an earlier command may still act: a machine whose reports don't arrive would never
-        show that it can't, and its cancelled tasks have to leave."""
+        """What may be sent while an earlier command may still act.
+
+        A machine whose reports don't arrive would never show that it can't, and its cancelled tasks have to leave.
+        """
         return [
             wire.Command(wire.STOP, wire.task_name(*run.key), run.attempt, 0.0)
             for run in machine.runs.values()
@@ -703,8 +710,11 @@
 
 
 def _follows(entry: TaskEntry, new: TaskEntry, gang: bool) -> bool:
-    """The entry still is what the change was decided for: a new attempt has the next number, in a gang the next that none
-    of its members has had, and every other change belongs to the attempt that it was decided for."""
+    """The entry still is what the change was decided for.
+
+    A new attempt has the next number, in a gang the next that none of its members has had, and every other change
+    belongs to the attempt that it was decided for.
+    """
     if new.state == records.ASSIGNED:
         newer = new.attempt > entry.attempt if gang else new.attempt == entry.attempt + 1
         return entry.state == records.FREE and newer
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -306,8 +306,11 @@
                 self._give_back(where, entry)
 
     def _lower(self, priority: int) -> bool:
-        """Something of lower priority runs here. Asked once a round: to ask for every job that waits is jobs times
-        machines, and took a fifth of a holder's time in the first minute of a large fleet."""
+        """Something of lower priority runs here.
+
+        Asked once a round: to ask for every job that waits is jobs times machines, and took a fifth of a holder's time
+        in the first minute of a large fleet.
+        """
         if priority not in self._lowers:
             used = (used for room in self.rooms for used in room.by_priority[priority + 1 :])
             self._lowers[priority] = any(cpus > EPSILON for cpus, *_ in used)
@@ -332,8 +335,10 @@
         return GIVE_BACK_SCARCE_S if self.placer.scarce and not self.part.dark else GIVE_BACK_S
 
     def _stuck(self, since: float) -> bool:
-        """Nothing of the queue moves: machines that were to come up here are late, others took the room, or nobody hears
-        the zone."""
+        """Nothing of the queue moves.
+
+        Machines that were to come up here are late, others took the room, or nobody hears the zone.
+        """
         return self.part.dark or self.now - max(since, self.placer.moved_at, self.part.grew_at) > GIVE_BACK_STUCK_S
 
     def _better_elsewhere(self, job: JobView) -> bool:
@@ -430,8 +435,10 @@
         return self._roomy + [room for room in self._reserved_rooms if room.machine in mine.machines]
 
     def _reserve_for_gang(self, job: JobView, count: int, since: float) -> bool:
-        """Has work of lower priority leave, or keeps machines from arrays until enough room has gathered. One gang at a
-        time may keep room that way: what it keeps is idle meanwhile."""
+        """Has work of lower priority leave, or keeps machines from arrays until enough room has gathered.
+
+        One gang at a time may keep room that way: what it keeps is idle meanwhile.
+        """
         rooms = self._preempt_for_gang(job, count) if self._lower(job.need.priority) else []
         wait_s = PREEMPT_WAIT_S
         if not rooms and not self.placer.reservations and self.now - since > GANG_RESERVE_AFTER_S:
@@ -452,8 +459,10 @@
         self._roomy = [room for room in self._roomy if room.machine not in machines]
 
     def _preempt_for_gang(self, job: JobView, count: int) -> list[Room]:
-        """Stops work of lower priority so that the whole gang fits; nothing if that is not enough. Other gangs are left
-        alone: to stop one member costs all of them."""
+        """Stops work of lower priority so that the whole gang fits; nothing if that is not enough.
+
+        Other gangs are left alone: to stop one member costs all of them.
+        """
         trial, rooms, victims = Draft(), [], []
         try:
             for room in sorted(self._roomy_or_busy(), key=lambda room: (-room.free_cpus, room.machine)):
@@ -525,9 +534,12 @@
     # Whom to stop
 
     def _make_room_anywhere(self, key: tuple[str, int], need: Need) -> bool:
-        """The same on any machine of the part. Room only shrinks in the course of a round, so what found nobody to stop
-        is not looked for again by tasks that ask for no less: to do so for every replica that waits took most of an
-        owner's processor time while a large fleet came up."""
+        """The same on any machine of the part.
+
+        Room only shrinks in the course of a round, so what found nobody to stop is not looked for again by tasks that
+        ask for no less: to do so for every replica that waits took most of an owner's processor time while a large
+        fleet came up.
+        """
         if not self._lower(need.priority):
             return False
         if any(need.priority >= other.priority and need.asks_no_less(other) for other in self._unstoppable):
@@ -556,7 +568,9 @@
 
     def _lower_runs(self, need: Need, room: Room, gangs: bool = False) -> list[TaskRun]:
         """Tasks on a machine that may be stopped for work of a higher priority, in the order in which they should be.
-        Members of gangs come last, and only for the most urgent work: each takes its whole gang with it."""
+
+        Members of gangs come last, and only for the most urgent work: each takes its whole gang with it.
+        """
         machine = self.part.machines[self.view.machines.name(room.machine)]
         lower = [
             run for run in machine.runs.values()
@@ -596,8 +610,10 @@
             trial.undo()
 
     def _take_back(self, key: tuple[str, int], job: JobView) -> bool:
-        """Work that another team runs beyond its guarantee, for a job that is inside its own (the protocol's second
-        rule of preemption). The youngest goes first; no team is taken below its guarantee."""
+        """Stop work that another team runs beyond its guarantee, for a job that is inside its own.
+
+        That is the protocol's second rule of preemption. The youngest goes first; no team is taken below its guarantee.
+        """
         if self._victims_by_guarantee is None:
             runs = [
                 run for run in self.part.runs.values()
--- a/spurarch/coordination/returning.py
+++ b/spurarch/coordination/returning.py
@@ -108,8 +108,11 @@
 def orphaned_machines(
     state: State, zones: set[str], cancelled_ago: Callable[[str], float | None], workers: Workers
 ) -> dict[str, str]:
-    """Machines, and their zones, that may hold a cancelled task while nobody who lives holds their part: a holder ended and
-    the state service is out before another could claim. By the copy that is left, as late as for machines unheard."""
+    """Machines, and their zones, that may hold a cancelled task while nobody who lives holds their part.
+
+    A holder ended and the state service is out before another could claim. By the copy that is left, as late as for
+    machines unheard.
+    """
     out: dict[str, str] = {}
     for ref in list(state.allots):
         ago = cancelled_ago(ref)
--- a/spurarch/coordination/returns.py
+++ b/spurarch/coordination/returns.py
@@ -9,7 +9,7 @@
 import curio
 
 from spurarch.bookkeeping import records
-from spurarch.bookkeeping.cloud import Cloud, CloudTrouble, NoCapacity
+from spurarch.bookkeeping.cloud import Cloud, CloudError, NoCapacityError
 from spurarch.bookkeeping.records import MachineRecord
 from spurarch.bookkeeping.replica import Replica, Write
 from spurarch.bookkeeping.store import Verdict
@@ -103,7 +103,7 @@
         try:
             await self.cloud.release(list(zones), lambda: time.monotonic() - self.replica.synced_at > CUT_S)
             self._remember_returned(zones)
-        except (CloudTrouble, NoCapacity) as err:
+        except (CloudError, NoCapacityError) as err:
             log.info("return of %d machines: %s", len(zones), err)
         finally:
             self._orphans_under_way = False
@@ -127,8 +127,11 @@
             self._keep_rest(machines)
 
     def unrecorded(self) -> list[str]:
-        """Machines that this process returned and that are on record all the same: their part went to another first, or a
-        transaction that had put them there was carried out late. Their holder would take them for room, and wait."""
+        """Machines that this process returned and that are on record all the same.
+
+        Their part went to another first, or a transaction that had put them there was carried out late. Their holder
+        would take them for room, and wait.
+        """
         on_record = self.replica.state.machines
         return [name for name, zone in self._returned.items() if name in on_record[zone]][:RETURN_AT_ONCE]
 
@@ -218,7 +221,7 @@
         """Has the cloud take machines back; its answer proves that everything on them is gone."""
         try:
             await self.cloud.release([m.name for m in machines], still)
-        except (CloudTrouble, NoCapacity) as err:
+        except (CloudError, NoCapacityError) as err:
             log.info("return of %d machines: %s", len(machines), err)
             return
         for machine in machines:
@@ -228,8 +231,11 @@
 
     @staticmethod
     def _keep_rest(machines: list[Machine]) -> None:
-        """Whichever were not returned after all can be used, or returned, again: also those that were left out because
-        a task was recorded onto them meanwhile, which stayed closed for ever once."""
+        """Whichever were not returned after all can be used, or returned, again.
+
+        Also those that were left out because a task was recorded onto them meanwhile, which stayed closed for ever
+        once.
+        """
         for machine in machines:
             if machine.standing is not Standing.GONE:
                 machine.return_after = time.monotonic() + RETURNS_S
--- a/spurarch/coordination/users.py
+++ b/spurarch/coordination/users.py
@@ -13,7 +13,7 @@
 from spurarch.bookkeeping.limits import Urgency
 from spurarch.bookkeeping.records import JobRecord
 from spurarch.bookkeeping.replica import Replica, Write
-from spurarch.bookkeeping.store import Unavailable, Verdict
+from spurarch.bookkeeping.store import StoreUnavailableError, Verdict
 from spurarch.coordination.membership import gangs_supported
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
@@ -69,7 +69,7 @@
         self._pending += 1
         try:
             return await self._accept(spec)
-        except Unavailable:
+        except StoreUnavailableError:
             return error(503, "the state service can't be reached")
         finally:
             self._pending -= 1
@@ -130,7 +130,7 @@
             return error(404, "no such job")
         try:
             return await self._known(ref) or error(404, "no such job")
-        except Unavailable:
+        except StoreUnavailableError:
             return error(503, "the state service can't be reached")
 
     async def cancel(self, ref: str) -> Response:
@@ -155,7 +155,7 @@
                 if outcome.verdict is not Verdict.CONFLICT:
                     break
             return error(503, "not settled yet")
-        except Unavailable:
+        except StoreUnavailableError:
             return error(503, "the state service can't be reached")
 
     async def _known(self, ref: str) -> Response | None:
@@ -164,7 +164,7 @@
         final = state.finals.get(ref)
         if final is None:
             if not self.replica.loaded or not await self.replica.sync(SYNC_S):
-                raise Unavailable("no fresh copy")
+                raise StoreUnavailableError("no fresh copy")
             record = state.jobs.get(ref)
             if record is not None:
                 return self._live(ref, record)
--- a/spurarch/coordination/view.py
+++ b/spurarch/coordination/view.py
@@ -190,8 +190,9 @@
         return self._guaranteed
 
     def rank(self, job: JobView, starving: bool) -> tuple[int, bool, float, float]:
-        """Order of admission and of placing: priority; then jobs inside their team's guarantee, who need not wait on
-        others; then the deadline.
+        """Order of admission and of placing.
+
+        Priority; then jobs inside their team's guarantee, who need not wait on others; then the deadline.
 
         A job of which nothing has run for the longest wait goes before all others of whatever priority: nobody is to
         starve behind a stream of jobs that are more urgent.
--- a/spurarch/transport/http.py
+++ b/spurarch/transport/http.py
@@ -42,7 +42,7 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
-class NoAnswer(Exception):
+class NoAnswerError(Exception):
     """No usable answer came. `sent` is false only if the request certainly never left this process."""
 
     def __init__(self, reason: str, sent: bool) -> None:
@@ -160,15 +160,15 @@
         self._slots = curio.Semaphore(max_connections)
 
     async def request(self, method: str, target: str, body: bytes | None, timeout_s: float) -> tuple[int, bytes]:
-        """Sends one request and returns status and body, or raises NoAnswer."""
+        """Sends one request and returns status and body, or raises NoAnswerError."""
         state = [False]
         try:
             async with curio.timeout_after(timeout_s), self._slots:
                 return await self._exchange(method, target, body, state)
         except curio.TaskTimeout:
-            raise NoAnswer("timed out", state[0]) from None
+            raise NoAnswerError("timed out", state[0]) from None
         except (OSError, h11.ProtocolError) as err:
-            raise NoAnswer(repr(err), state[0]) from None
+            raise NoAnswerError(repr(err), state[0]) from None
 
     async def _exchange(self, method: str, target: str, body: bytes | None, state: list[bool]) -> tuple[int, bytes]:
         link = await self._take()
--- a/spurarch/transport/network.py
+++ b/spurarch/transport/network.py
@@ -13,7 +13,7 @@
     """A client of one address."""
 
     async def request(self, method: str, target: str, body: bytes | None, timeout_s: float) -> tuple[int, bytes]:
-        """Sends one request and returns status and body, or raises NoAnswer."""
+        """Sends one request and returns status and body, or raises NoAnswerError."""
 
 
 class Calls(Protocol):
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of spurarch."""
--- a/tests/sim/__init__.py
+++ b/tests/sim/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what controllers talk to, in virtual time."""
--- a/tests/sim/clock.py
+++ b/tests/sim/clock.py
@@ -19,6 +19,7 @@
         self._clock = clock
 
     def select(self, timeout: float | None = None) -> list[Any]:
+        """Moves the clock on by as long as there is nothing to do."""
         if timeout is None:
             raise RuntimeError("everything waits and nothing will happen")
         if timeout > 0:
--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -11,7 +11,7 @@
 
 import curio
 
-from spurarch.transport.http import NoAnswer, Request, Response
+from spurarch.transport.http import NoAnswerError, Request, Response
 from tests.sim.clock import Clock
 from tests.sim.gangs import SimGangs
 from tests.sim.net import Wire
@@ -232,8 +232,10 @@
         task.ready_at = now + (0.0 if spec["kit"] in self.images else spec["pull_gb"])
 
     def frozen_for_good(self) -> bool:
-        """It hangs past its lease: its tasks don't execute, and when it goes on it kills them before anything else. A
-        resumption within its lease, and a cancelled task on it, count all the same (docs/questions.md, 10)."""
+        """It hangs past its lease: its tasks don't execute, and when it goes on it kills them before anything else.
+
+        A resumption within its lease, and a cancelled task on it, count all the same (docs/questions.md, 10).
+        """
         now = self.world.clock.now
         return now < self.hang_until and now - self.renewed > self.world.lease_s
 
@@ -305,7 +307,7 @@
             await curio.spawn(self._copy_late, address, body, daemon=True)
         try:
             response = await self.world.wire.request(self.name, address, Request("POST", "/agent/beat", body), 4.0)
-        except NoAnswer:
+        except NoAnswerError:
             await self._next_node()
             return
         while self.world.clock.now < self.hang_until:
--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from spurarch.transport.http import Handler, NoAnswer, Request, Response
+from spurarch.transport.http import Handler, NoAnswerError, Request, Response
 from spurarch.transport.network import Network
 from tests.sim.clock import Clock
 
@@ -17,9 +17,11 @@
 
 @dataclass
 class Cut:
-    """Hosts that can't reach each other for a while. `hold` delivers late what was sent meanwhile; with `deaf`, what
-    `a` sends arrives, but neither answers nor what others send reach it; with `mute`, `a` reaches nobody, though others
-    reach it."""
+    """Hosts that can't reach each other for a while.
+
+    `hold` delivers late what was sent meanwhile; with `deaf`, what `a` sends arrives, but neither answers nor what
+    others send reach it; with `mute`, `a` reaches nobody, though others reach it.
+    """
 
     a: str
     b: str
@@ -66,20 +68,20 @@
             if cut.mode == "hold":
                 await curio.spawn(self._late, cut, source, address, request, daemon=True)
             await curio.sleep(max(0.0, end - self.clock.now))
-            raise NoAnswer("cut", cut.mode != "drop")
+            raise NoAnswerError("cut", cut.mode != "drop")
         await curio.sleep(self.latency_s() * (0.5 + self.random.random()))
         handler = self.handler(source, address)
         if handler is None:
-            raise NoAnswer("refused", False)
+            raise NoAnswerError("refused", False)
         try:
             response: Response = await curio.timeout_after(max(0.001, end - self.clock.now), handler, request)
         except curio.TaskTimeout:
-            raise NoAnswer("timed out", True) from None
+            raise NoAnswerError("timed out", True) from None
         if self.handlers.get(address) is not handler and address not in self.doors:
-            raise NoAnswer("reset", True)  # the server ended meanwhile
+            raise NoAnswerError("reset", True)  # the server ended meanwhile
         if self.cut(source, target) is not None:
             await curio.sleep(max(0.0, end - self.clock.now))
-            raise NoAnswer("cut", True)
+            raise NoAnswerError("cut", True)
         return response
 
     def handler(self, source: str, address: str) -> Handler | None:
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -30,7 +30,7 @@
     Tuning,
     Workers,
 )
-from spurarch.transport.http import NoAnswer, Request
+from spurarch.transport.http import NoAnswerError, Request
 from tests.sim.clock import Clock
 from tests.sim.fleet import FakeCloud, Kind, World
 from tests.sim.net import Cut, SimNetwork, Wire
@@ -364,7 +364,7 @@
                 continue
             try:
                 response = await self.wire.request("users", address, Request(method, target, body), 5.0)
-            except NoAnswer:
+            except NoAnswerError:
                 return 504, {}
             return response.status, json.loads(response.body)
         return 504, {}
@@ -454,9 +454,12 @@
     # Checks
 
     async def _watch_records(self) -> None:
-        """All the time: no machine that is gone for good is taken for room again. While the state service is out, nobody
-        can take it off the record, nor put anything onto it, nor while its answers come too late. A late transaction may put it back, for as long as its
-        holder needs to take it off; whatever does that time and again is a fault."""
+        """All the time: no machine that is gone for good is taken for room again.
+
+        While the state service is out, nobody can take it off the record, nor put anything onto it, nor while its
+        answers come too late. A late transaction may put it back, for as long as its holder needs to take it off;
+        whatever does that time and again is a fault.
+        """
         back: dict[str, tuple[int, float]] = {}  # by key: the change that put it there again, and when that was seen
         times: dict[str, int] = {}
         while True:
--- a/tests/sim/store.py
+++ b/tests/sim/store.py
@@ -173,8 +173,11 @@
         return answer(200, {"ledger": self.revision})
 
     def repeat_all(self, but: str) -> list[str]:
-        """Carries out every transaction once more, as a late copy of it would be; returns the keys of those that found
-        their conditions met again, except the ones that create nothing but keys that begin with `but`."""
+        """Carries out every transaction once more, as a late copy of it would be.
+
+        Returns the keys of those that found their conditions met again, except the ones that create nothing but keys
+        that begin with `but`.
+        """
         again = []
         for body in list(self._carried):
             created = [
--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -29,8 +29,11 @@
 
 
 def test_tasks_that_an_earlier_plan_moved_are_not_moved_again() -> None:
-    """On a standard day 29 tasks ran twice: arrays are admitted beside the rounds, and a plan made while an earlier one
-    was under way moved the same returned tasks once more."""
+    """On a standard day 29 tasks ran twice.
+
+    Arrays are admitted beside the rounds, and a plan made while an earlier one was under way moved the same returned
+    tasks once more.
+    """
     fleet = Fleet(0)
     fleet.put(f"{records.JOB}job-1", JobRecord(submission("job-1", 3), 0.0))
     returned = [TaskEntry(n, records.RETURNED, 1) for n in range(2)]
--- a/tests/test_bursts.py
+++ b/tests/test_bursts.py
@@ -39,15 +39,19 @@
 
 
 def test_room_that_another_part_waits_for_itself_is_no_reason_to_give_back() -> None:
-    """While machines came up in all zones, each part sent its tasks after the room of the others: a third of all changes
-    in the first minute, four for each task."""
+    """While machines came up in all zones, each part sent its tasks after the room of the others.
+
+    A third of all changes in the first minute, four for each task.
+    """
     assert given_back(0) == 10
     assert given_back(32) == 0
 
 
 def test_while_changes_are_scarce_and_machines_come_up_here_nothing_is_given_back() -> None:
-    """In the first minute of the restart day replicas were sent after free rooms of other zones: 176 of 180 changes of a
-    part in ten seconds, and three more each of the leader, while arrays could not start."""
+    """In the first minute of the restart day replicas were sent after free rooms of other zones.
+
+    176 of 180 changes of a part in ten seconds, and three more each of the leader, while arrays could not start.
+    """
     assert given_back(0, scarce=True, grew_at=0.0) == 0
     assert given_back(0, scarce=True) == 10
     assert given_back(0, grew_at=0.0) == 10
@@ -119,8 +123,10 @@
 
 
 def test_a_free_machine_goes_to_a_task_whose_image_it_has_for_as_long_as_a_fetch_takes() -> None:
-    """In a burst a fifth of all rooms stood idle while images were fetched, because the first in line took whatever
-    machine became free."""
+    """In a burst a fifth of all rooms stood idle while images were fetched.
+
+    The first in line took whatever machine became free.
+    """
     fleet, placer = warm_fleet(), Placer()
     first = placer.run(fleet.part, fleet.view, 2.0, lambda: False, 100)
     assert [where.job for where in first.entries] == ["job-2"]
@@ -129,8 +135,10 @@
 
 
 def test_a_start_that_waits_in_line_keeps_its_room() -> None:
-    """Starts of arrays stand in line beside the rounds; a round that comes meanwhile must not give their room to a
-    replica."""
+    """Starts of arrays stand in line beside the rounds.
+
+    A round that comes meanwhile must not give their room to a replica.
+    """
     fleet, placer = warm_fleet(), Placer()
     first = placer.run(fleet.part, fleet.view, 2.0, lambda: False, 100)
     assert [where.job for where in first.entries] == ["job-2"]
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -22,23 +22,17 @@
 
 
 def _returns(**parts: Any) -> Returns:
+    unused: Any = None
     given = {"can": SimpleNamespace(reach=None), "held": {}, "replica": None, "cloud": None, **parts}
-    return Returns(
-        given["replica"],
-        None,
-        None,
-        given["cloud"],
-        given["can"],
-        None,
-        None,
-        None,
-        given["held"],  # type: ignore[arg-type]
-    )
+    fixed = (given["replica"], unused, unused, given["cloud"], given["can"])
+    return Returns(*fixed, unused, unused, unused, given["held"])
 
 
 def test_a_machine_left_out_of_a_return_is_of_use_again() -> None:
-    """A task is recorded onto one of two idle machines while both are closed. It stayed marked as being returned for
-    ever on the former code, so nobody used it, and nobody returned it."""
+    """A task is recorded onto one of two idle machines while both are closed.
+
+    It stayed marked as being returned for ever on the former code, so nobody used it, and nobody returned it.
+    """
     fleet = Fleet(3)
     machines = [fleet.part.machines["vm-0"], fleet.part.machines["vm-1"]]
     runs = [dict(machine.runs) for machine in machines]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -68,23 +68,28 @@
 
     @staticmethod
     def allot(i: int, last: int) -> AllotRecord:
+        """Four tasks of a job on one machine; the last one in the given state."""
         states = [records.ASSIGNED] * 3 + [last]
         return AllotRecord([TaskEntry(n, state, 1, f"vm-{i}", 1) for n, state in enumerate(states)])
 
     def put(self, key: str, record: Any) -> None:
+        """Changes a record."""
         self.state.put(key, self.state.revision + 1, record)
         self.state.advance(self.state.revision + 1)
 
     def news(self, keys: list[str]) -> None:
+        """Has the tables follow changed records."""
         self.view.update()
         self.part.take_records(self.state, keys, 1.0)
 
     @staticmethod
     def wire_report(i: int, seq: int, token: int) -> wire.Report:
+        """A report of a machine on which all four tasks run."""
         tasks = [wire.TaskReport(f"job-{i}/{n}", 1, "running") for n in range(4)]
         return wire.Report(f"vm-{i}", "10.1.0.1:9000", "big", "a", 1, seq, token, tasks)
 
     def report(self, i: int, seq: int, token: int) -> object:
+        """Takes such a report in."""
         return self.part.on_report(self.wire_report(i, seq, token), 1.0 + seq / 10)
 
 
@@ -185,12 +190,16 @@
     """A state service that carries out everything at once."""
 
     async def request(self, method: str, target: str, body: bytes | None, timeout_s: float) -> tuple[int, bytes]:
+        """Like HttpClient.request."""
         return 200, b'{"ledger":1}'
 
 
 def test_a_large_transaction_is_not_starved_by_small_ones() -> None:
-    """Small transactions that take all there is must not keep a large one waiting: it once waited for 43 s, and the
-    commands of its part with it (docs/incidents/2026-12-02-commands-behind-records.md)."""
+    """Small transactions that take all there is must not keep a large one waiting.
+
+    It once waited for 43 s, and the commands of its part with it (docs/incidents/2026-12-02-commands-behind-
+    records.md).
+    """
     clock = Clock()
     waited: list[float] = []
 
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -77,8 +77,10 @@
 
 
 def test_a_machine_heard_once_does_not_stand_for_a_zone_that_nobody_hears() -> None:
-    """A new holder that had heard one machine of a zone that is cut off took none of the others for silent; its part and
-    the leader passed hundreds of replicas to and fro, at four changes each, until no array could start."""
+    """A new holder that had heard one machine of a zone that is cut off took none of the others for silent.
+
+    Its part and the leader passed hundreds of replicas to and fro, at four changes each, until no array could start.
+    """
     fleet = Fleet(10)
     for i, machine in enumerate(fleet.part.machines.values()):
         if i:
