--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -11,10 +11,10 @@
 from dataclasses import dataclass, field
 from itertools import islice
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.records import AllotKey, TaskEntry
-from spurarch.coordination.fit import EPSILON, PRIORITIES, Draft, Need, Room, all_fit, best_fit, fill
+from spurarch.coordination.best_fit import EPSILON, PRIORITIES, Draft, Need, Room, all_fit, best_fit, fill
 from spurarch.coordination.view import FleetView, JobView
+from spurarch.storage import records
+from spurarch.storage.records import AllocationKey, TaskEntry
 
 SPREAD_OVER = 2  # zones that a service's replicas are spread over, if there is room
 MOST_PREEMPTED = 50  # tasks of a job for which others are stopped, in one round
@@ -22,12 +22,12 @@
 
 @dataclass(slots=True)
 class Grant:
-    """Tasks of one job for one part: new ones by index, and returned ones with the allotment they leave."""
+    """Tasks of one job for one part: new ones by index, and returned ones with the allocation they leave."""
 
     job: str
     zone: int
     entries: list[TaskEntry] = field(default_factory=list)
-    moved: dict[AllotKey, set[int]] = field(default_factory=dict)
+    moved: dict[AllocationKey, set[int]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -175,10 +175,10 @@
             most = min(most, int((team.gpus_max - self.gpus.get(job.team, 0.0) + EPSILON) / job.need.gpus))
         return max(0, most)
 
-    def _pending(self, job: JobView) -> Iterable[tuple[TaskEntry, AllotKey | None]]:
+    def _pending(self, job: JobView) -> Iterable[tuple[TaskEntry, AllocationKey | None]]:
         """Tasks to place: those that parts returned, then new ones in order of their index."""
         if job.returned:
-            for where, record in self.view.state.allots.get(job.ref, {}).items():
+            for where, record in self.view.state.allocations.get(job.ref, {}).items():
                 for entry in record.tasks:
                     if entry.state == records.RETURNED:
                         yield TaskEntry(entry.index, records.FREE, entry.attempt), where
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -10,20 +10,20 @@
 import curio
 import msgspec
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.cloud import Cloud
-from spurarch.bookkeeping.limits import lend
-from spurarch.bookkeeping.replica import Replica
-from spurarch.bookkeeping.store import Store, StoreUnavailableError
-from spurarch.coordination.holder import Holder, direct_connections
 from spurarch.coordination.leader import Leader
 from spurarch.coordination.membership import Membership, rate_shares
-from spurarch.coordination.pulse import BEAT_S, Pulse
-from spurarch.coordination.reach import Reach
+from spurarch.coordination.partition_owner import PartitionOwner, direct_connections
+from spurarch.coordination.stall_detector import BEAT_S, StallDetector
+from spurarch.coordination.store_reachability import StoreReachability
 from spurarch.coordination.users import Users, error
 from spurarch.coordination.view import FleetView
-from spurarch.protocol import hints, wire
+from spurarch.protocol import peer_messages, wire
 from spurarch.settings import Platform, Tuning
+from spurarch.storage import records
+from spurarch.storage.cloud import Cloud
+from spurarch.storage.limits import lend
+from spurarch.storage.replica import Replica
+from spurarch.storage.store import Store, StoreUnavailableError
 from spurarch.transport.http import Request, Response
 from spurarch.transport.network import Calls, Network
 
@@ -58,14 +58,22 @@
             self.replica, platform.node, self.boot, platform.area, deployment.zones, tuning.member_ttl_s, version
         )
         workers = deployment.workers
-        self.reach = Reach([p.node for p in platform.peers], workers.cancel_s, workers.lease_s)
-        self.pulse = Pulse()
+        self.reachability = StoreReachability([p.node for p in platform.peers], workers.cancel_s, workers.lease_s)
+        self.stall_detector = StallDetector()
         self.view = FleetView(self.replica.state, deployment.teams, tuning.size_weight, deployment.objectives)
-        self.holder = Holder(
-            self.replica, self.membership, self.view, self.cloud, self.reach, self.pulse, deployment, tuning, network
+        self.holder = PartitionOwner(
+            self.replica, self.membership, self.view, self.cloud, self.reachability, self.stall_detector, deployment, tuning, network
         )  # fmt: skip
         self.leader = Leader(
-            self.replica, self.membership, self.view, self.cloud, self.pulse, deployment, tuning, self.boot, self._wake
+            self.replica,
+            self.membership,
+            self.view,
+            self.cloud,
+            self.stall_detector,
+            deployment,
+            tuning,
+            self.boot,
+            self._wake,
         )
         self.users = Users(
             self.replica, self.view, deployment, [platform.node, *(p.node for p in platform.peers)],
@@ -74,7 +82,7 @@
         self._began = time.monotonic()
         self._peers = {p.node: network.back_client(p.address) for p in platform.peers}
         self._waking = curio.Event()
-        self._loads: dict[str, tuple[hints.Load, float]] = {}
+        self._loads: dict[str, tuple[peer_messages.Load, float]] = {}
 
     async def run(self) -> None:
         """Serves until cancelled."""
@@ -171,7 +179,7 @@
         now = time.monotonic()
         if not self.replica.loaded:
             return error(503, "starting")
-        if now - self.replica.synced_at > 3.0 and now - self.reach.peer_reaches_at < 3.0:
+        if now - self.replica.synced_at > 3.0 and now - self.reachability.peer_reaches_at < 3.0:
             return error(503, "cut from the state service")
         return Response(200)
 
@@ -179,43 +187,43 @@
 
     async def on_frame(self, frame: bytes) -> bytes:
         """Answers a peer."""
-        hint = hints.decode(frame)
-        if isinstance(hint, hints.Load):
+        hint = peer_messages.decode(frame)
+        if isinstance(hint, peer_messages.Load):
             self._note_refusals(hint)
             self._loads[hint.node] = hint, time.monotonic()
             self.holder.returns.hear(hint.node, dict(hint.strangers), hint.returned)
-            return hints.encode(hints.Wake())
-        if isinstance(hint, hints.Wake):
+            return peer_messages.encode(peer_messages.Wake())
+        if isinstance(hint, peer_messages.Wake):
             await curio.spawn(self._follow, daemon=True)
-        if isinstance(hint, hints.Ping):
-            return hints.encode(await self._pong())
-        if isinstance(hint, hints.Cancelled):
-            self.reach.note_cancelled(hint.jobs, time.monotonic())
+        if isinstance(hint, peer_messages.Ping):
+            return peer_messages.encode(await self._pong())
+        if isinstance(hint, peer_messages.Cancelled):
+            self.reachability.note_cancelled(hint.jobs, time.monotonic())
             await self.replica.ring()
-        return hints.encode(hints.Wake())
+        return peer_messages.encode(peer_messages.Wake())
 
-    def _note_refusals(self, load: hints.Load) -> None:
+    def _note_refusals(self, load: peer_messages.Load) -> None:
         """The state service has lowered its rate if a peer's changes are refused; only where that is announced."""
         before = self._loads.get(load.node)
         announced = self.platform.deployment.state.next is not None
         if announced and before is not None and load.writes_refused > before[0].writes_refused:
             self.store.note_peer_refused()
 
-    async def _pong(self) -> hints.Pong:
+    async def _pong(self) -> peer_messages.Pong:
         """What this controller knows, whether or not it reaches the state service: a peer may go on by it."""
         reaches = self.replica.loaded and await self.replica.sync(0.8)
         state, now = self.replica.state, time.monotonic()
-        cancelled = {ref for ref, job in state.jobs.items() if job.cancelled} | set(self.reach.cancelled)
+        cancelled = {ref for ref, job in state.jobs.items() if job.cancelled} | set(self.reachability.cancelled)
         parts = [(zone, p.node, p.epoch) for zone, p in state.parts.items()]
         read = self.replica.synced_at
         age_s = now - read if read > float("-inf") else -1.0
-        return hints.Pong(
+        return peer_messages.Pong(
             self.platform.node, self.boot, reaches, sorted(cancelled), parts, age_s, now - self._began
         )  # fmt: skip
 
     async def _tell_cancelled(self, ref: str) -> None:
         """Peers may be cut from the state service at this moment, and the service down in the next."""
-        frame = hints.encode(hints.Cancelled([ref]))
+        frame = peer_messages.encode(peer_messages.Cancelled([ref]))
         for client in self._peers.values():
             await curio.spawn(client.call, frame, 0.5, daemon=True)
 
@@ -224,8 +232,8 @@
 
     async def _beat(self) -> None:
         while True:
-            woke_at = self.pulse.woke_at
-            if self.pulse.beat(time.monotonic()) != woke_at:
+            woke_at = self.stall_detector.woke_at
+            if self.stall_detector.beat(time.monotonic()) != woke_at:
                 log.warning("this process stood still; it reads the state service before it goes on")
                 await curio.spawn(self._follow, daemon=True)
             await curio.sleep(BEAT_S)
@@ -238,7 +246,7 @@
             await self._waking.wait()
             self._waking.clear()
             for client in self._peers.values():
-                await curio.spawn(client.call, hints.encode(hints.Wake()), 0.5, daemon=True)
+                await curio.spawn(client.call, peer_messages.encode(peer_messages.Wake()), 0.5, daemon=True)
             await curio.sleep(0.02)
 
     async def _share_rates(self) -> None:
@@ -251,7 +259,7 @@
             now = time.monotonic()
             recent = {n: load for n, (load, at) in self._loads.items() if now - at < 3 * SHARE_S}
             total = self.platform.deployment.state.write_rps
-            mine = hints.Load(
+            mine = peer_messages.Load(
                 node, *self.store.recent_writes(), self.holder.strangers(now), self.holder.returns.unrecorded(),
                 self.store.writes_refused,
             )  # fmt: skip
@@ -263,7 +271,7 @@
             )  # fmt: skip
             self.store.set_shares(shares[node][0], writes)
             self.cloud.set_share(CLOUD_LEADER if node == leader else (1 - CLOUD_LEADER) / max(1, len(nodes) - 1))
-            frame = hints.encode(mine)
+            frame = peer_messages.encode(mine)
             for client in self._peers.values():
                 await curio.spawn(client.call, frame, 0.5, daemon=True)
             await curio.sleep(SHARE_LEAST_S)
@@ -276,10 +284,10 @@
             await curio.sleep(0.5)
             now = time.monotonic()
             if now - self.replica.synced_at <= 0.8 or await self.replica.sync(0.8):
-                self.reach.settle(self.replica.synced_at)
+                self.reachability.settle(self.replica.synced_at)
                 continue
             if time.monotonic() - self.replica.synced_at > CUT_AFTER_S:
-                frame = hints.encode(hints.Ping(self.platform.node))
+                frame = peer_messages.encode(peer_messages.Ping(self.platform.node))
                 for node, client in self._peers.items():
                     await curio.spawn(self._ping, node, client, frame, daemon=True)
                 await curio.sleep(PING_S - 0.5)
@@ -287,7 +295,7 @@
     async def _ping(self, node: str, client: Calls, frame: bytes) -> None:
         sent = time.monotonic()
         answer = await client.call(frame, 2.0)
-        hint = hints.decode(answer) if answer is not None else None
-        if isinstance(hint, hints.Pong):
-            self.reach.pong(node, sent, time.monotonic(), hint, self.replica.synced_at)
+        hint = peer_messages.decode(answer) if answer is not None else None
+        if isinstance(hint, peer_messages.Pong):
+            self.reachability.pong(node, sent, time.monotonic(), hint, self.replica.synced_at)
             await self.replica.ring()
--- a/spurarch/coordination/gang.py
+++ b/spurarch/coordination/gang.py
@@ -16,10 +16,10 @@
 import logging
 from collections.abc import Iterable
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.records import AllotKey, TaskEntry
-from spurarch.coordination.machine import Phase, TaskRun
+from spurarch.coordination.machine import Phase, TaskAttempt
 from spurarch.protocol import wire
+from spurarch.storage import records
+from spurarch.storage.records import AllocationKey, TaskEntry
 
 log = logging.getLogger(__name__)
 
@@ -62,12 +62,12 @@
         self.save_grace_s = save_grace_s  # how long members get to save when they are told to leave; 0: they never save
         self.state = GangState.WAITING
         self.attempt = 0  # the highest number on record
-        self.members: dict[int, TaskRun] = {}  # by index, those with a machine
-        self._entries: dict[AllotKey, list[TaskEntry]] = {}
+        self.members: dict[int, TaskAttempt] = {}  # by index, those with a machine
+        self._entries: dict[AllocationKey, list[TaskEntry]] = {}
 
     # Records and reports coming in
 
-    def record(self, where: AllotKey, entries: list[TaskEntry] | None) -> None:
+    def record(self, where: AllocationKey, entries: list[TaskEntry] | None) -> None:
         """Takes one allocation record in, or its removal."""
         if entries is None:
             self._entries.pop(where, None)
@@ -135,7 +135,7 @@
             return self.attempt
         return None
 
-    def waiting(self) -> list[tuple[AllotKey, TaskEntry]]:
+    def waiting(self) -> list[tuple[AllocationKey, TaskEntry]]:
         """Members without a machine."""
         return [(w, e) for w, entries in self._entries.items() for e in entries if e.state == records.FREE]
 
@@ -144,7 +144,7 @@
         """Every member is in this partition, with a machine or waiting for one."""
         return len(self.members) + len(self.waiting()) >= self.size
 
-    def to_stop(self) -> list[TaskRun]:
+    def to_stop(self) -> list[TaskAttempt]:
         """Members that have to be told to leave because of what became of the others."""
         staying = [m for m in self.members.values() if not m.stop and m.phase < Phase.STOPPING]
         if self.state is GangState.STOPPING:
@@ -191,9 +191,9 @@
         self._attempts.pop(job, None)
         self._changed.pop(job, None)
 
-    def settle(self) -> list[tuple[TaskRun, float]]:
+    def settle(self) -> list[tuple[TaskAttempt, float]]:
         """Settles what has changed; returns members to be stopped, and how long each gets to save."""
-        out: list[tuple[TaskRun, float]] = []
+        out: list[tuple[TaskAttempt, float]] = []
         while self._changed:
             gang = self._attempts[next(iter(self._changed))]
             del self._changed[gang.job]
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -9,20 +9,20 @@
 
 import curio
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.cloud import Cloud, CloudError, NoCapacityError
-from spurarch.bookkeeping.limits import Urgency
-from spurarch.bookkeeping.records import AdmissionRecord, AllotKey, AllotRecord, FinalRecord, TaskEntry
-from spurarch.bookkeeping.replica import Replica, Write
-from spurarch.bookkeeping.store import Verdict
 from spurarch.coordination.admission import Admission, Grant, Plan, Shortage
 from spurarch.coordination.membership import Membership
-from spurarch.coordination.part import live
-from spurarch.coordination.pulse import Pulse
-from spurarch.coordination.renting import Kind, Order, Turnover, plan_rentals, room_of
+from spurarch.coordination.partition import live
+from spurarch.coordination.provisioning import Kind, Order, Turnover, plan_rentals, room_of
+from spurarch.coordination.stall_detector import StallDetector
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import Deployment, Tuning
+from spurarch.storage import records
+from spurarch.storage.cloud import Cloud, CloudError, NoCapacityError
+from spurarch.storage.limits import Urgency
+from spurarch.storage.records import AdmissionRecord, AllocationKey, AllocationRecord, FinalRecord, TaskEntry
+from spurarch.storage.replica import Replica, Write
+from spurarch.storage.store import Verdict
 
 log = logging.getLogger(__name__)
 
@@ -51,11 +51,11 @@
     """The leading controller's rounds; they do nothing while another one leads."""
 
     def __init__(
-        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, pulse: Pulse,
+        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, stall_detector: StallDetector,
         deployment: Deployment, tuning: Tuning, boot: str, wake: Callable[[], Awaitable[None]],
     ) -> None:  # fmt: skip
         self.replica, self.membership, self.view, self.cloud = replica, membership, view, cloud
-        self.deployment, self.tuning, self._boot, self._pulse = deployment, tuning, boot, pulse
+        self.deployment, self.tuning, self._boot, self._stall_detector = deployment, tuning, boot, stall_detector
         self._bell = replica.listen()
         self._wake = wake
         self._next_job: str | None = None
@@ -146,7 +146,7 @@
         moving them again would run them twice.
         """
         state = self.replica.state
-        keys = [records.ADMISSION + ref, *(str(where) for where in state.allots.get(ref, {}))]
+        keys = [records.ADMISSION + ref, *(str(where) for where in state.allocations.get(ref, {}))]
         return {key: state.version(key) for key in keys}
 
     async def _admit_arrays(self, grants: list[Grant], planned: dict[str, dict[str, int]]) -> None:
@@ -184,37 +184,37 @@
             await self._commit(batch, jobs, urgency)
 
     def _stands(self, ref: str, grants: list[Grant], planned: dict[str, int]) -> bool:
-        """What the plan for a job was decided by has not changed: its count, and the allotments that lose tasks."""
+        """What the plan for a job was decided by has not changed: its count, and the allocations that lose tasks."""
         state = self.replica.state
         keys = {records.ADMISSION + ref, *(str(source) for grant in grants for source in grant.moved)}
         return all(state.version(key) == planned.get(key, 0) for key in keys)
 
     def _admission_writes(self, ref: str, grants: list[Grant]) -> list[Write]:
-        """The job's count, its new allotments, and the old ones that lose tasks; as many as one transaction takes.
+        """The job's count, its new allocations, and the old ones that lose tasks; as many as one transaction takes.
 
-        A job that is admitted as a whole needs no count: its allotments stay until it is over, and a late repeat of
+        A job that is admitted as a whole needs no count: its allocations stay until it is over, and a late repeat of
         the transaction that made them finds them there.
         """
         state = self.replica.state
         known = state.admitted.get(ref)
-        there = state.allots.get(ref, {})
+        there = state.allocations.get(ref, {})
         if known is None and there:
             known = AdmissionRecord(state.jobs[ref].spec.tasks, max(where.chunk for where in there) + 1)
         chunks, first = (known.chunks, known.next) if known is not None else (0, 0)
         most = self._most_changes - 2
-        allots: list[tuple[AllotKey, list[TaskEntry]]] = []
-        moved: dict[AllotKey, set[int]] = {}
+        allocations: list[tuple[AllocationKey, list[TaskEntry]]] = []
+        moved: dict[AllocationKey, set[int]] = {}
         fresh: set[int] = set()
         for grant in grants:
             moved_here = {index for indices in grant.moved.values() for index in indices}
             for at in range(0, len(grant.entries), self._chunk):
                 part = grant.entries[at : at + self._chunk]
                 sources = {s for s, indices in grant.moved.items() if any(e.index in indices for e in part)}
-                if len(allots) + 1 + sum(map(self._pieces, sources | set(moved))) > most:
+                if len(allocations) + 1 + sum(map(self._pieces, sources | set(moved))) > most:
                     break
-                where = AllotKey(self.view.zones.name(grant.zone), ref, chunks)
+                where = AllocationKey(self.view.zones.name(grant.zone), ref, chunks)
                 chunks += 1
-                allots.append((where, part))
+                allocations.append((where, part))
                 taken = {e.index for e in part}
                 fresh |= taken - moved_here
                 for source in sources:
@@ -223,24 +223,25 @@
         while first in fresh:
             fresh.discard(first)
             first += 1
-        kept = [(where, [e for e in entries if e.index not in fresh]) for where, entries in allots]
-        writes = [Write(str(where), AllotRecord(entries)) for where, entries in kept if entries]
+        kept = [(where, [e for e in entries if e.index not in fresh]) for where, entries in allocations]
+        writes = [Write(str(where), AllocationRecord(entries)) for where, entries in kept if entries]
         if known is None and not moved and first == state.jobs[ref].spec.tasks:
             return writes
         return [Write(records.ADMISSION + ref, AdmissionRecord(first, chunks)), *writes, *self._shrunk(moved)]
 
-    def _pieces(self, source: AllotKey) -> int:
+    def _pieces(self, source: AllocationKey) -> int:
         """How many changes it takes at most to write a record again."""
-        return max(1, ceil(len(self.replica.state.allots[source.job][source].tasks) / self._chunk))
+        return max(1, ceil(len(self.replica.state.allocations[source.job][source].tasks) / self._chunk))
 
-    def _shrunk(self, moved: dict[AllotKey, set[int]]) -> list[Write]:
+    def _shrunk(self, moved: dict[AllocationKey, set[int]]) -> list[Write]:
         out: list[Write] = []
         for source, indices in moved.items():
-            record = self.replica.state.allots[source.job][source]
+            record = self.replica.state.allocations[source.job][source]
             left = [e for e in record.tasks if e.index not in indices]
             if left:
                 out += [
-                    Write(str(where), part) for where, part in records.split(source, AllotRecord(left), self._chunk)
+                    Write(str(where), part)
+                    for where, part in records.split(source, AllocationRecord(left), self._chunk)
                 ]
             else:
                 out.append(Write(str(source), None))
@@ -248,7 +249,7 @@
 
     async def _commit(self, writes: list[Write], jobs: list[str], urgency: Urgency) -> None:
         # The count is guarded also where it is not written: once there is one, a late repeat of the transaction that
-        # admitted a job as a whole does nothing, whatever has become of its allotments.
+        # admitted a job as a whole does nothing, whatever has become of its allocations.
         guards = {records.LEADER, *(records.JOB + ref for ref in jobs), *(records.ADMISSION + ref for ref in jobs)}
         if not self.membership.leading:
             return
@@ -285,7 +286,7 @@
             if key.startswith(records.JOB):
                 self._ending[key[len(records.JOB) :]] = None
             elif key.startswith(records.ALLOT):
-                self._ending[AllotKey.parse(key).job] = None
+                self._ending[AllocationKey.parse(key).job] = None
         self._dirty.clear()
         batch: list[Write] = []
         guards: set[str] = set()
@@ -326,14 +327,14 @@
         record = state.jobs.get(ref)
         if record is None:
             return None
-        allots = state.allots.get(ref, {})
+        allocations = state.allocations.get(ref, {})
         if record.cancelled:
-            return None if allots else FinalRecord(wire.CANCELLED, record.spec.tasks)
+            return None if allocations else FinalRecord(wire.CANCELLED, record.spec.tasks)
         self.view.update()
         job = self.view.jobs.get(ref)
         if job is None or job.ended < (1 if job.gang else record.spec.tasks):
             return None
-        entries = [entry for allot in allots.values() for entry in allot.tasks]
+        entries = [entry for allocation in allocations.values() for entry in allocation.tasks]
         ended = sum(entry.state == records.ENDED for entry in entries)
         if job.gang and ended and not any(entry.state == records.ASSIGNED for entry in entries):
             return FinalRecord(wire.DONE, record.spec.tasks)  # members complete together, also those that were free
@@ -345,7 +346,7 @@
         if ref in state.admitted:
             writes.append(Write(records.ADMISSION + ref, None))
         # What does not fit goes with the holders' clean-up of jobs that are over; all of it while changes are scarce.
-        rest = [str(key) for key in state.allots.get(ref, {})]
+        rest = [str(key) for key in state.allocations.get(ref, {})]
         if self.replica.store.ready(Urgency.ENDS):
             writes += [Write(key, None) for key in rest[: most - len(writes)]]
         return writes, set(rest[: self._most_guards])
@@ -358,7 +359,7 @@
         One that stood still would rent a second time, or return machines that the next leader uses by now.
         """
         now = time.monotonic()
-        fresh = now - self.replica.synced_at < FRESH_S and self._pulse.steady(now, self.replica.synced_at)
+        fresh = now - self.replica.synced_at < FRESH_S and self._stall_detector.steady(now, self.replica.synced_at)
         return self.membership.leading and fresh
 
     async def run_cloud(self) -> None:
--- a/spurarch/coordination/refining.py
+++ b/spurarch/coordination/local_search.py
@@ -7,9 +7,9 @@
 from math import floor
 from random import Random
 
-from spurarch.coordination.fit import Room, best_fit
-from spurarch.coordination.machine import Phase, Standing, TaskRun
-from spurarch.coordination.part import Part
+from spurarch.coordination.best_fit import Room, best_fit
+from spurarch.coordination.machine import Phase, Standing, TaskAttempt
+from spurarch.coordination.partition import Partition
 from spurarch.coordination.tabu import Replica, Search, SearchResult, Weights
 from spurarch.coordination.view import FleetView
 from spurarch.settings import Tuning
@@ -19,12 +19,12 @@
 class Refinement:
     """Moves (task and target machine) and a machine to be emptied."""
 
-    moves: list[tuple[TaskRun, str]] = field(default_factory=list)
+    moves: list[tuple[TaskAttempt, str]] = field(default_factory=list)
     empty: str | None = None
     search: SearchResult | None = None
 
 
-def movable(part: Part, view: FleetView, tuning: Tuning) -> set[tuple[str, int]]:
+def movable(part: Partition, view: FleetView, tuning: Tuning) -> set[tuple[str, int]]:
     """Running service replicas that may stop without their service falling below its minimum.
 
     A replica without work to go back to stays while its job is cancelled; one replica of a service moves at a time.
@@ -43,7 +43,7 @@
 
 
 def refine(
-    part: Part, view: FleetView, tuning: Tuning, now: float, random: Random, late: Callable[[], bool]
+    part: Partition, view: FleetView, tuning: Tuning, now: float, random: Random, late: Callable[[], bool]
 ) -> Refinement:
     """One round of a part."""
     out = Refinement()
@@ -64,7 +64,9 @@
     return out
 
 
-def _tables(part: Part, view: FleetView, tuning: Tuning) -> tuple[list[str], list[Room], list[Replica], list[TaskRun]]:
+def _tables(
+    part: Partition, view: FleetView, tuning: Tuning
+) -> tuple[list[str], list[Room], list[Replica], list[TaskAttempt]]:
     """Dense tables of the part's machines and of the tasks on them."""
     names: list[str] = []
     rooms: list[Room] = []
@@ -80,7 +82,7 @@
     index = {name: i for i, name in enumerate(names)}
     free_to_move = movable(part, view, tuning)
     tasks: list[Replica] = []
-    runs: list[TaskRun] = []
+    runs: list[TaskAttempt] = []
     for key, run in part.runs.items():
         job = view.jobs.get(run.where.job)
         if job is not None and run.machine in index and run.phase < Phase.EXITED:
@@ -94,7 +96,7 @@
 
 
 def _to_empty(
-    part: Part, names: list[str], rooms: list[Room], tasks: list[Replica], tuning: Tuning, now: float
+    part: Partition, names: list[str], rooms: list[Room], tasks: list[Replica], tuning: Tuning, now: float
 ) -> str | None:
     """The least booked machine, if all that must leave it may, and the rest stays under the cap of booked CPU."""
     open_rooms = [i for i, name in enumerate(names) if part.machines[name].usable(now)]
@@ -113,11 +115,11 @@
 
 
 def _move_off(
-    names: list[str], rooms: list[Room], tasks: list[Replica], runs: list[TaskRun], source: int,
+    names: list[str], rooms: list[Room], tasks: list[Replica], runs: list[TaskAttempt], source: int,
     emptying: frozenset[int], tuning: Tuning,
-) -> list[tuple[TaskRun, str]]:  # fmt: skip
+) -> list[tuple[TaskAttempt, str]]:  # fmt: skip
     """Moves of the replicas on a machine that is emptied; its other tasks run to their end there."""
-    out: list[tuple[TaskRun, str]] = []
+    out: list[tuple[TaskAttempt, str]] = []
     for task in tasks:
         if task.at != source or not task.movable or len(out) >= tuning.moves_per_round:
             continue
--- a/spurarch/coordination/machine.py
+++ b/spurarch/coordination/machine.py
@@ -3,7 +3,7 @@
     ASSIGNED -> STARTING -> FETCHING -> (GATHERING ->) RUNNING -> (STOPPING ->) EXITED -> forgotten
         any of them -> GONE once it is proved that the machine no longer has the task
 
-`TaskRun.advance` makes every change of a task's phase and `Machine.advance` every change of a machine's.
+`TaskAttempt.advance` makes every change of a task's phase and `Machine.advance` every change of a machine's.
 """
 
 from __future__ import annotations
@@ -11,8 +11,8 @@
 import enum
 from dataclasses import dataclass, field
 
-from spurarch.bookkeeping.records import AllotKey
 from spurarch.protocol import wire
+from spurarch.storage.records import AllocationKey
 
 DRIFT = 1.001
 LEASE_MARGIN_S = 0.5
@@ -45,10 +45,10 @@
 
 
 @dataclass(slots=True)
-class TaskRun:
+class TaskAttempt:
     """A task that the records assign to a machine."""
 
-    where: AllotKey
+    where: AllocationKey
     index: int
     attempt: int
     machine: str
@@ -62,7 +62,7 @@
     sent_seq: int = -1  # the start was handed to the worker no later than its message with this number
     running_at: float | None = None
     over_at: float = 0.0  # when its end was proved
-    called_off_at: float | None = None  # its job was cancelled then, so far as is known
+    revoked_at: float | None = None  # its job was cancelled then, so far as is known
 
     @property
     def key(self) -> tuple[str, int]:
@@ -123,11 +123,11 @@
     in_flight: int = 0  # direct commands without an answer yet
     heard_at: float | None = None  # receipt of its newest message
     notice_until: float | None = None
-    runs: dict[tuple[str, int], TaskRun] = field(default_factory=dict)
+    runs: dict[tuple[str, int], TaskAttempt] = field(default_factory=dict)
     forget: dict[tuple[str, int], int] = field(default_factory=dict)
     images: set[int] = field(default_factory=set)  # seen in use here: a task with this image has run
     idle_since: float | None = None
-    called_off_at: float | None = None  # it fell silent with a task that was cancelled then, and may hang with it still
+    revoked_at: float | None = None  # it fell silent with a task that was cancelled then, and may hang with it still
     failures: int = 0
     avoid_until: float = 0.0
     pause_until: float = 0.0  # it refused a task; too short a while to go on record
--- a/spurarch/coordination/membership.py
+++ b/spurarch/coordination/membership.py
@@ -11,11 +11,11 @@
 
 import curio
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.limits import Urgency
-from spurarch.bookkeeping.records import LeaderRecord, MemberRecord, PartRecord
-from spurarch.bookkeeping.replica import Replica, Write
-from spurarch.bookkeeping.store import Verdict
+from spurarch.storage import records
+from spurarch.storage.limits import Urgency
+from spurarch.storage.records import LeaderRecord, MemberRecord, PartitionRecord
+from spurarch.storage.replica import Replica, Write
+from spurarch.storage.store import Verdict
 
 log = logging.getLogger(__name__)
 
@@ -33,8 +33,8 @@
     return bool(members) and all(map(starts_gangs, members.values()))
 
 
-def assign_parts(
-    zones: list[str], parts: dict[str, PartRecord], members: dict[str, MemberRecord], settled: set[str],
+def assign_partitions(
+    zones: list[str], parts: dict[str, PartitionRecord], members: dict[str, MemberRecord], settled: set[str],
     gangs: bool = False,
 ) -> dict[str, str]:  # fmt: skip
     """Parts that should change hands, and to whom.
@@ -107,12 +107,12 @@
         leader = self.replica.state.leader
         return leader is not None and leader.node == self.node and leader.boot == self.boot
 
-    def holds(self, zone: str) -> PartRecord | None:
+    def holds(self, zone: str) -> PartitionRecord | None:
         """The part's record if this process holds it."""
         part = self.replica.state.parts.get(zone)
         return part if part is not None and part.node == self.node and part.boot == self.boot else None
 
-    def note_unfit(self, zone: str, now: float) -> None:
+    def note_unheard(self, zone: str, now: float) -> None:
         """This controller seems cut from the workers of a zone: another one should hold it for a while."""
         self._unfit[zone] = now + UNFIT_S
 
@@ -199,9 +199,9 @@
             if self._seen.get(node, ("", 0.0))[0] != member.boot:
                 self._seen[node] = member.boot, now
         settled = {n for n, (_, at) in self._seen.items() if n in state.members and now - at >= HOME_AFTER_S}
-        for zone, node in assign_parts(self.zones, state.parts, state.members, settled, self._gangs()).items():
+        for zone, node in assign_partitions(self.zones, state.parts, state.members, settled, self._gangs()).items():
             part = state.parts.get(zone)
-            record = PartRecord(node, part.epoch + 1 if part else 1)
+            record = PartitionRecord(node, part.epoch + 1 if part else 1)
             log.info("part %s goes to %s (epoch %d)", zone, node, record.epoch)
             await self.replica.commit(
                 [Write(records.PART + zone, record)], guards=[records.LEADER], give_up_s=2.0, urgency=Urgency.MEMBERSHIP
@@ -214,7 +214,7 @@
         """
         for zone, part in list(self.replica.state.parts.items()):
             if part.node == self.node and part.boot != self.boot:
-                record = PartRecord(self.node, part.epoch + 1, self.boot)
+                record = PartitionRecord(self.node, part.epoch + 1, self.boot)
                 outcome = await self.replica.commit(
                     [Write(records.PART + zone, record)], give_up_s=2.0, urgency=Urgency.MEMBERSHIP
                 )  # fmt: skip
--- a/spurarch/coordination/held.py
+++ b/spurarch/coordination/owned_partition.py
@@ -4,15 +4,15 @@
 
 import curio
 
-from spurarch.coordination.part import Part
+from spurarch.coordination.partition import Partition
 from spurarch.coordination.placing import Placer
 from spurarch.settings import Tuning
 
 
-class Held:
+class OwnedPartition:
     """A part and what its holder keeps beside it."""
 
-    def __init__(self, part: Part, tuning: Tuning) -> None:
+    def __init__(self, part: Partition, tuning: Tuning) -> None:
         self.part = part
         self.placer = Placer(tuning.longest_wait_s, tuning.guarantee_wait_s)
         self.dirty: dict[str, None] = {}
--- a/spurarch/coordination/part.py
+++ b/spurarch/coordination/partition.py
@@ -10,19 +10,19 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.records import AllotKey, AllotRecord, JobRecord, MachineRecord, TaskEntry
-from spurarch.bookkeeping.replica import State
 from spurarch.coordination.gang import Gangs, GangState
-from spurarch.coordination.machine import Machine, Phase, Standing, TaskRun, observed_phase
+from spurarch.coordination.machine import Machine, Phase, Standing, TaskAttempt, observed_phase
 from spurarch.protocol import wire
+from spurarch.storage import records
+from spurarch.storage.records import AllocationKey, AllocationRecord, JobRecord, MachineRecord, TaskEntry
+from spurarch.storage.replica import State
 
 log = logging.getLogger(__name__)
 
 TOKEN_BITS = 36
 ASK_LEASES = 0.6  # of a lease: time after which a machine is given a new token, to see that it hears us
 DEAF_LEASES = 0.5  # several reports: a worker shows a higher token with the next one that it sends
-ODD_KEPT = 1000
+STRANGE_KEPT = 1000
 RETURNED_KEPT = 5000
 FAULTS_BEFORE_PAUSE = 2
 FAULT_PAUSE_S = 30.0
@@ -34,7 +34,7 @@
 
 
 @dataclass(slots=True)
-class JobTrouble:
+class JobBackoff:
     """What a job's failures taught: when to try again."""
 
     failures: int = 0
@@ -48,7 +48,7 @@
         self.not_before = now + min(30.0, 0.25 * 2 ** min(self.failures, 8))
 
 
-class Part:
+class Partition:
     """State of one part. The holder owns it as long as `epoch` is the part's on record.
 
     Nothing here that happens on a report, a change or a round walks the whole part: what has to be recorded, sent or
@@ -63,23 +63,25 @@
         self.taken_at = self.now = now
         self.grew_at = now  # when a machine last became known
         self.machines: dict[str, Machine] = {}
-        self.runs: dict[tuple[str, int], TaskRun] = {}
-        self.free: dict[AllotKey, list[TaskEntry]] = {}
-        self.trouble: dict[str, JobTrouble] = defaultdict(JobTrouble)
+        self.runs: dict[tuple[str, int], TaskAttempt] = {}
+        self.free: dict[AllocationKey, list[TaskEntry]] = {}
+        self.backoffs: dict[str, JobBackoff] = defaultdict(JobBackoff)
         self.dark = False  # nobody hears its workers
         self.ready = False  # the records of this part have been read since it was claimed
         self.cancelled_ago: Callable[[str], float | None] = (
             lambda job: None
         )  # seconds since a job was cancelled, if it was
-        self.called_off: dict[str, None] = {}  # machines that may hold tasks of cancelled jobs
-        self.over: dict[AllotKey, dict[int, TaskRun]] = defaultdict(dict)  # ended or gone, and not recorded as that
+        self.revoking: dict[str, None] = {}  # machines that may hold tasks of cancelled jobs
+        self.over: dict[AllocationKey, dict[int, TaskAttempt]] = defaultdict(
+            dict
+        )  # ended or gone, and not recorded as that
         self.attention: dict[str, None] = {}  # machines that may need a command
-        self.stale: set[AllotKey] = set()  # allotments that may be left from a job that is over
-        self._by_allot: dict[AllotKey, dict[int, TaskRun]] = {}
-        self._by_job: dict[str, set[AllotKey]] = defaultdict(set)
+        self.stale: set[AllocationKey] = set()  # allocations that may be left from a job that is over
+        self._by_allocation: dict[AllocationKey, dict[int, TaskAttempt]] = {}
+        self._by_job: dict[str, set[AllocationKey]] = defaultdict(set)
         self._counter = 0
         self._returned: dict[str, None] = {}
-        self._odd: set[str] = set()
+        self._strange: set[str] = set()
         self._unknown_states: set[str] = set()
         self.gangs = Gangs()
 
@@ -106,9 +108,9 @@
         self.now = now
         for key in keys:
             if key.startswith(records.ALLOT):
-                where = AllotKey.parse(key)
+                where = AllocationKey.parse(key)
                 if where.zone == self.zone:
-                    self._take_allot(state, where, state.zone_allots[self.zone].get(where), now)
+                    self._take_allocation(state, where, state.zone_allocations[self.zone].get(where), now)
             elif key.startswith(records.MACHINE):
                 zone, name = records.parse_machine_key(key)
                 if zone == self.zone:
@@ -120,13 +122,13 @@
         self._settle_gangs()
 
     def _job_over(self, ref: str) -> None:
-        """The job ended or was cancelled: its tasks leave, and its allotments go."""
-        self.trouble.pop(ref, None)
+        """The job ended or was cancelled: its tasks leave, and its allocations go."""
+        self.backoffs.pop(ref, None)
         self.gangs.drop(ref)
         for where in self._by_job.get(ref, ()):
             self.stale.add(where)
-            for run in self._by_allot.get(where, {}).values():
-                self._call_off(run)
+            for run in self._by_allocation.get(where, {}).values():
+                self._revoke(run)
 
     def _take_machine(self, name: str, record: MachineRecord | None, now: float) -> None:
         machine = self.machines.get(name)
@@ -146,8 +148,8 @@
         self.machines[name] = machine
         return machine
 
-    def _take_allot(self, state: State, where: AllotKey, record: AllotRecord | None, now: float) -> None:
-        mine = self._by_allot.get(where, {})
+    def _take_allocation(self, state: State, where: AllocationKey, record: AllocationRecord | None, now: float) -> None:
+        mine = self._by_allocation.get(where, {})
         if is_live_gang(state, where.job):
             spec = state.jobs[where.job].spec
             gang = self.gangs.track(where.job, spec.tasks, save_grace_s(spec))
@@ -157,14 +159,14 @@
             for run in list(mine.values()):
                 if not self._rehome(state, run):
                     self._forget_run(run)
-            self._by_allot.pop(where, None)
+            self._by_allocation.pop(where, None)
             self._by_job[where.job].discard(where)
             if not self._by_job[where.job]:
                 del self._by_job[where.job]
                 self.gangs.drop(where.job)
             return
-        if where not in self._by_allot:
-            mine = self._by_allot[where] = {}
+        if where not in self._by_allocation:
+            mine = self._by_allocation[where] = {}
             self._by_job[where.job].add(where)
         wanted = live(state, where.job)
         if not wanted:
@@ -185,12 +187,12 @@
         else:
             self.free.pop(where, None)
 
-    def _new_run(self, where: AllotKey, entry: TaskEntry, wanted: bool, now: float) -> None:
+    def _new_run(self, where: AllocationKey, entry: TaskEntry, wanted: bool, now: float) -> None:
         machine = self.machines.get(entry.machine)
         if machine is None:
             machine = self._new_machine(entry.machine, "", False, "", willing=False)
-        run = TaskRun(where, entry.index, entry.attempt, entry.machine, entry.session, now)
-        self._by_allot[where][entry.index] = self.runs[run.key] = machine.runs[run.key] = run
+        run = TaskAttempt(where, entry.index, entry.attempt, entry.machine, entry.session, now)
+        self._by_allocation[where][entry.index] = self.runs[run.key] = machine.runs[run.key] = run
         gang = self.gangs.get(where.job)
         if gang is not None:
             gang.members[run.index] = run
@@ -201,14 +203,14 @@
         elif machine.standing is Standing.GONE:
             self.step(run, Phase.GONE)
         if not wanted:
-            self._call_off(run)
+            self._revoke(run)
 
-    def _rehome(self, state: State, run: TaskRun) -> bool:
+    def _rehome(self, state: State, run: TaskAttempt) -> bool:
         """Follows a task whose entry went to another record of the same job, as when a record is split.
 
         Its state is kept: forgetting an end that is not recorded yet would have the task run once more.
         """
-        for where, record in state.allots.get(run.where.job, {}).items():
+        for where, record in state.allocations.get(run.where.job, {}).items():
             if where.zone != self.zone or where == run.where:
                 continue
             for entry in record.tasks:
@@ -218,8 +220,8 @@
                     return True
         return False
 
-    def _move_run(self, run: TaskRun, where: AllotKey) -> None:
-        for table in (self._by_allot, self.over):
+    def _move_run(self, run: TaskAttempt, where: AllocationKey) -> None:
+        for table in (self._by_allocation, self.over):
             if table.get(run.where, {}).pop(run.index, None) is run:
                 table.setdefault(where, {})[run.index] = run
         if not self.over.get(run.where, True):
@@ -227,14 +229,14 @@
         self._by_job[where.job].add(where)
         run.where = where
 
-    def _forget_run(self, run: TaskRun) -> None:
+    def _forget_run(self, run: TaskAttempt) -> None:
         if self.runs.get(run.key) is run:
             del self.runs[run.key]
         gang = self.gangs.get(run.where.job)
         if gang is not None and gang.members.get(run.index) is run:
             del gang.members[run.index]
             self.gangs.note(gang.job)
-        for table in (self._by_allot, self.over):
+        for table in (self._by_allocation, self.over):
             held = table.get(run.where)
             if held is not None and held.get(run.index) is run:
                 del held[run.index]
@@ -247,7 +249,7 @@
             if run.phase is Phase.EXITED:
                 machine.forget[run.key] = run.attempt
 
-    def step(self, run: TaskRun, phase: Phase, why: str | None = None) -> bool:
+    def step(self, run: TaskAttempt, phase: Phase, why: str | None = None) -> bool:
         """Changes a task's phase; what has ended is noted, to be recorded."""
         if not run.advance(phase, why):
             return False
@@ -297,7 +299,7 @@
         if not commanding or machine.standing is not Standing.KNOWN:
             return []
         if not self.ready:
-            return self._called_off(report)
+            return self._stop_cancelled(report)
         self._prove_absent(machine, report)
         self._settle_gangs()
         commands = self.commands(machine, report)
@@ -307,8 +309,8 @@
         return commands
 
     def _note_strange(self, report: wire.Report, reason: str) -> None:
-        if report.machine not in self._odd and len(self._odd) < ODD_KEPT:
-            self._odd.add(report.machine)
+        if report.machine not in self._strange and len(self._strange) < STRANGE_KEPT:
+            self._strange.add(report.machine)
             log.info("report of %s (session %d, %d) not taken: %s", report.machine, report.session, report.seq, reason)
 
     def _machine(self, report: wire.Report) -> Machine:
@@ -352,7 +354,7 @@
                     self.step(run, Phase.GONE)
             machine.forget.clear()
             machine.fence = 0  # commands name their session
-            machine.called_off_at = None  # what was on it is gone
+            machine.revoked_at = None  # what was on it is gone
         machine.session, machine.seq = report.session, report.seq
         machine.heard_at = now
         machine.type, machine.spot, machine.addr = report.type, report.spot, report.addr
@@ -404,28 +406,28 @@
 
     def _note_unknown_state(self, state: str) -> None:
         """A state that this version does not know teaches nothing; workers may be newer than controllers."""
-        if state not in self._unknown_states and len(self._unknown_states) < ODD_KEPT:
+        if state not in self._unknown_states and len(self._unknown_states) < STRANGE_KEPT:
             self._unknown_states.add(state)
             log.warning("workers report the unknown task state %r", state)
 
-    def _judge(self, machine: Machine, run: TaskRun, now: float) -> None:
+    def _judge(self, machine: Machine, run: TaskAttempt, now: float) -> None:
         """Learns from the way a task ended."""
-        trouble = self.trouble[run.where.job]
+        backoff = self.backoffs[run.where.job]
         if run.why == wire.WHY_ERROR:
-            trouble.machines.add(machine.name)
+            backoff.machines.add(machine.name)
             # A job that fails wherever it is put says nothing of the machines.
-            if trouble.good or len(trouble.machines) <= MACHINES_BLAMED:
+            if backoff.good or len(backoff.machines) <= MACHINES_BLAMED:
                 machine.failures += 1
-            trouble.back_off(now)
+            backoff.back_off(now)
             log.info("task %s/%d failed on %s (attempt %d)", *run.key, machine.name, run.attempt)
             if machine.failures >= FAULTS_BEFORE_PAUSE:
                 machine.avoid_until = now + FAULT_PAUSE_S * machine.failures
         elif run.why in (wire.WHY_NO_ROOM, wire.WHY_BUSY):
             machine.pause_until = now + REFUSAL_PAUSE_S
         elif run.why == wire.WHY_UNKNOWN:
-            trouble.back_off(now)
+            backoff.back_off(now)
         elif run.why == wire.WHY_DONE:
-            trouble.failures, trouble.good = 0, True
+            backoff.failures, backoff.good = 0, True
             machine.failures = 0
 
     def _prove_absent(self, machine: Machine, report: wire.Report) -> None:
@@ -464,7 +466,7 @@
                 out.append(wire.Command(wire.START, name, run.attempt))
         return out
 
-    def _saving(self, run: TaskRun) -> bool:
+    def _saving(self, run: TaskAttempt) -> bool:
         """The task was told to save, and has time left for it. Members of a gang go on being reported as running."""
         if run.grace_s <= 0:
             return False
@@ -472,11 +474,11 @@
             return self.now - run.stop_heard_at < run.grace_s + SAVE_SLACK_S
         return run.phase is Phase.STOPPING
 
-    def _startable(self, run: TaskRun) -> bool:
+    def _startable(self, run: TaskAttempt) -> bool:
         gang = self.gangs.get(run.where.job)
         return gang is None or gang.startable
 
-    def _called_off(self, report: wire.Report) -> list[wire.Command]:
+    def _stop_cancelled(self, report: wire.Report) -> list[wire.Command]:
         """Stops what is known to be cancelled.
 
         That needs no record, and may have to be done before the records can be read: a part may change hands just
@@ -575,9 +577,9 @@
                 machine.lost_session = machine.session
                 machine.advance(Standing.LOST)
                 for run in machine.runs.values():
-                    if run.called_off_at is not None:
+                    if run.revoked_at is not None:
                         # One that hangs does not even end what its lease no longer covers.
-                        machine.called_off_at = min(run.called_off_at, machine.called_off_at or run.called_off_at)
+                        machine.revoked_at = min(run.revoked_at, machine.revoked_at or run.revoked_at)
                     self.step(run, Phase.GONE)
             if machine.runs:
                 machine.idle_since = None
@@ -585,12 +587,12 @@
                 machine.idle_since = now
         self._settle_gangs()
 
-    def stop(self, run: TaskRun, grace_s: float) -> None:
+    def stop(self, run: TaskAttempt, grace_s: float) -> None:
         """Has a task leave its machine, and with it the other members of its gang."""
         self._stop_one(run, grace_s)
         self._settle_gangs()
 
-    def _stop_one(self, run: TaskRun, grace_s: float) -> None:
+    def _stop_one(self, run: TaskAttempt, grace_s: float) -> None:
         run.stop, run.grace_s = True, grace_s
         self.attention[run.machine] = None
         if run.phase is Phase.ASSIGNED:
@@ -602,25 +604,23 @@
         """Has all tasks of a cancelled job leave."""
         self.now = now
         for where in self._by_job.get(ref, ()):
-            for run in self._by_allot[where].values():
-                if run.called_off_at is None:
-                    self._call_off(run)
+            for run in self._by_allocation[where].values():
+                if run.revoked_at is None:
+                    self._revoke(run)
 
-    def _call_off(self, run: TaskRun) -> None:
+    def _revoke(self, run: TaskAttempt) -> None:
         """The task's job is cancelled, or over in another way."""
         ago = self.cancelled_ago(run.where.job)
-        if run.called_off_at is None and ago is not None:
-            run.called_off_at = self.now - ago
-            self.called_off[run.machine] = None
+        if run.revoked_at is None and ago is not None:
+            run.revoked_at = self.now - ago
+            self.revoking[run.machine] = None
         self.stop(run, 0.0)
 
     def overdue(self, machine: Machine) -> float | None:
         """Since when a cancelled task may be on a machine that has not shown that it left."""
-        times = [
-            r.called_off_at for r in machine.runs.values() if r.called_off_at is not None and r.phase < Phase.EXITED
-        ]
-        if machine.called_off_at is not None:
-            times.append(machine.called_off_at)
+        times = [r.revoked_at for r in machine.runs.values() if r.revoked_at is not None and r.phase < Phase.EXITED]
+        if machine.revoked_at is not None:
+            times.append(machine.revoked_at)
         return min(times, default=None)
 
     def returned(self, name: str) -> None:
@@ -637,16 +637,16 @@
     # Records going out
 
     @staticmethod
-    def _is_service(state: State, run: TaskRun) -> bool:
+    def _is_service(state: State, run: TaskAttempt) -> bool:
         """Replicas run until their job is cancelled, so one that ends by itself starts again."""
         job = state.jobs.get(run.where.job)
         return job is not None and job.spec.kind == wire.SERVICE
 
-    def left_over(self, state: State) -> list[AllotKey]:
+    def left_over(self, state: State) -> list[AllocationKey]:
         """Allotments of jobs that are over and hold nothing that may still run: they can go."""
         out = []
         for where in list(self.stale):
-            record = state.zone_allots[self.zone].get(where)
+            record = state.zone_allocations[self.zone].get(where)
             if record is None:
                 self.stale.discard(where)
             elif not live(state, where.job):
@@ -655,16 +655,16 @@
                     out.append(where)
         return out
 
-    def ends(self, state: State, gather_s: float) -> dict[AllotKey, dict[int, TaskEntry]]:
+    def ends(self, state: State, gather_s: float) -> dict[AllocationKey, dict[int, TaskEntry]]:
         """Entries of tasks whose end or absence is proved and is to be recorded now.
 
-        Ends of one allotment are gathered for a while, so that many of them cost one change. What someone waits for is
-        not: the last end of an allotment, and a task that has to start again.
+        Ends of one allocation are gathered for a while, so that many of them cost one change. What someone waits for is
+        not: the last end of an allocation, and a task that has to start again.
         """
-        out: dict[AllotKey, dict[int, TaskEntry]] = {}
+        out: dict[AllocationKey, dict[int, TaskEntry]] = {}
         for where, runs in self.over.items():
             entries = {run.index: TaskEntry(run.index, self._outcome(state, run), run.attempt) for run in runs.values()}
-            record = state.zone_allots[self.zone].get(where)
+            record = state.zone_allocations[self.zone].get(where)
             if record is None:
                 continue
             oldest = min(run.over_at for run in runs.values())
@@ -676,7 +676,7 @@
                 out[where] = entries
         return out
 
-    def _outcome(self, state: State, run: TaskRun) -> int:
+    def _outcome(self, state: State, run: TaskAttempt) -> int:
         done = run.phase is Phase.EXITED and run.why == wire.WHY_DONE and not self._is_service(state, run)
         gang = self.gangs.get(run.where.job)
         if gang is not None and gang.state is GangState.ENDED:
@@ -721,8 +721,8 @@
     return entry.state in _BEFORE[new.state] and new.attempt == entry.attempt
 
 
-def merged(record: AllotRecord, changes: dict[int, TaskEntry], gang: bool = False) -> AllotRecord | None:
-    """A copy of an allotment with some entries replaced, as far as they still are what the change was decided for.
+def merged(record: AllocationRecord, changes: dict[int, TaskEntry], gang: bool = False) -> AllocationRecord | None:
+    """A copy of an allocation with some entries replaced, as far as they still are what the change was decided for.
 
     Members of a gang are given machines together, so one whose entry has changed keeps the others from it.
     """
@@ -734,4 +734,4 @@
         elif new is not None and gang and new.state == records.ASSIGNED:
             return None
         out.append(entry)
-    return AllotRecord(out) if changed else None
+    return AllocationRecord(out) if changed else None
--- a/spurarch/coordination/holder.py
+++ b/spurarch/coordination/partition_owner.py
@@ -12,24 +12,24 @@
 import curio
 import msgspec
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.cloud import Cloud
-from spurarch.bookkeeping.limits import Urgency
-from spurarch.bookkeeping.records import AllotKey, MachineRecord, TaskEntry
-from spurarch.bookkeeping.replica import Replica, Write
-from spurarch.bookkeeping.store import Verdict
-from spurarch.coordination.entitlement import Entitlement
-from spurarch.coordination.held import Held
-from spurarch.coordination.machine import Machine, Standing, TaskRun
+from spurarch.coordination.local_search import refine
+from spurarch.coordination.machine import Machine, Standing, TaskAttempt
 from spurarch.coordination.membership import Membership
-from spurarch.coordination.part import Part, is_live_gang, merged, save_grace_s
-from spurarch.coordination.pulse import Pulse
-from spurarch.coordination.reach import Reach
-from spurarch.coordination.refining import refine
-from spurarch.coordination.returns import Returns
+from spurarch.coordination.owned_partition import OwnedPartition
+from spurarch.coordination.partition import Partition, is_live_gang, merged, save_grace_s
+from spurarch.coordination.permissions import Permissions
+from spurarch.coordination.releasing import MachineReleaser
+from spurarch.coordination.stall_detector import StallDetector
+from spurarch.coordination.store_reachability import StoreReachability
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import Deployment, Tuning
+from spurarch.storage import records
+from spurarch.storage.cloud import Cloud
+from spurarch.storage.limits import Urgency
+from spurarch.storage.records import AllocationKey, MachineRecord, TaskEntry
+from spurarch.storage.replica import Replica, Write
+from spurarch.storage.store import Verdict
 from spurarch.transport.http import NoAnswerError
 from spurarch.transport.network import Network, Requests
 
@@ -38,7 +38,7 @@
 TICK_S = 0.1
 PAUSE_S = 0.03
 PART_TICK_S = 0.25
-MOST_PLACED = 200  # allotments in one round
+MOST_PLACED = 200  # allocations in one round
 MOST_BATCHES = 2  # of one urgency in one round, so that what comes meanwhile is planned in its place
 GATHER_S = 3.0
 GATHER_BELOW = 0.8
@@ -64,29 +64,31 @@
 
 @dataclass(slots=True)
 class _Change:
-    """A change of a record that a round decided on: a write, or entries of an allotment (None: it goes)."""
+    """A change of a record that a round decided on: a write, or entries of an allocation (None: it goes)."""
 
     write: Write | None
-    where: AllotKey | None = None
+    where: AllocationKey | None = None
     entries: dict[int, TaskEntry] | None = None
     starting: bool = False
 
 
-class Holder:
+class PartitionOwner:
     """All parts of this controller."""
 
     def __init__(
-        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, reach: Reach, pulse: Pulse,
+        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, reachability: StoreReachability, stall_detector: StallDetector,
         deployment: Deployment, tuning: Tuning, network: Network,
     ) -> None:  # fmt: skip
         self._network = network
         self.replica, self.membership, self.view = replica, membership, view
-        self.reach, self.deployment, self.tuning = reach, deployment, tuning
+        self.reachability, self.deployment, self.tuning = reachability, deployment, tuning
         self._record_tasks = records.tasks_per_record(deployment.state.value_bytes)
         self._most_changes = deployment.state.transaction_changes
-        self.held: dict[str, Held] = {}
-        self._can = Entitlement(replica, membership, reach, pulse, deployment.workers.cancel_s)
-        self.returns = Returns(replica, membership, view, cloud, self._can, pulse, deployment, tuning, self.held)
+        self.held: dict[str, OwnedPartition] = {}
+        self._permissions = Permissions(replica, membership, reachability, stall_detector, deployment.workers.cancel_s)
+        self.returns = MachineReleaser(
+            replica, membership, view, cloud, self._permissions, stall_detector, deployment, tuning, self.held
+        )
         self._strangers: dict[str, dict[str, float]] = {}
         self.found_stranger = curio.Event()  # a worker that its holder gave up for unheard
         self._bell = replica.listen()
@@ -101,9 +103,9 @@
 
     async def on_report(self, report: wire.Report, now: float) -> tuple[int, bytes]:
         """Answers a report: 200 as holder, 421 to steer the worker, 503 if nobody can tell."""
-        heard = self.reach.parts.get(report.zone)
+        heard = self.reachability.parts.get(report.zone)
         part = self.replica.state.parts.get(report.zone)
-        if self._can.superseded(report.zone) and heard is not None and self.reach.answers(heard[0], now):
+        if self._permissions.superseded(report.zone) and heard is not None and self.reachability.answers(heard[0], now):
             return 421, wire.encode(wire.Steer(heard[0]))  # a peer told us
         if self.membership.holds(report.zone) is None:
             lost = report.zone in self.view.dark()
@@ -117,12 +119,12 @@
             if part is None or part.node == self.membership.node:
                 return 503, wire.encode(wire.ErrorBody("the holder of this zone is not known yet"))
             return 421, wire.encode(wire.Steer(part.node))
-        if not self._can.answers(now):
+        if not self._permissions.answers(now):
             return 503, wire.encode(wire.ErrorBody("cut from the state service for too long"))
         held = self._hold(report.zone, now)
         fresh = held.part.machines.get(report.machine)
         news = fresh is None or fresh.reported != len(report.tasks)
-        commands = held.part.on_report(report, now, self._can.steady(now))
+        commands = held.part.on_report(report, now, self._permissions.steady(now))
         if commands is None:
             return 503, wire.encode(wire.ErrorBody("not entitled to this worker"))
         machine = held.part.machines[report.machine]
@@ -136,14 +138,16 @@
             self._strangers[zone] = {name: at for name, at in heard.items() if now - at < STRANGERS_S}
         return [(zone, len(heard)) for zone, heard in self._strangers.items() if heard]
 
-    def _hold(self, zone: str, now: float) -> Held:
+    def _hold(self, zone: str, now: float) -> OwnedPartition:
         """The part in memory, begun anew with every epoch."""
         record = self.replica.state.parts[zone]
         held = self.held.get(zone)
         if held is None or held.part.epoch != record.epoch:
-            held = Held(Part(zone, record.epoch, self.deployment.workers.lease_s, now, self._image_of), self.tuning)
+            held = OwnedPartition(
+                Partition(zone, record.epoch, self.deployment.workers.lease_s, now, self._image_of), self.tuning
+            )
             held.placer.silent_s = SILENT_REPORTS * self.deployment.workers.report_s
-            held.part.cancelled_ago = self._can.cancelled_ago
+            held.part.cancelled_ago = self._permissions.cancelled_ago
             self.held[zone] = held
         return held
 
@@ -182,10 +186,10 @@
                 if held.dirty:
                     await held.bell.set()
 
-    async def _run_part(self, held: Held) -> None:
+    async def _run_part(self, held: OwnedPartition) -> None:
         """Rounds of one part, as long as it is held: on news, and every now and then."""
         zone = held.part.zone
-        while self.held.get(zone) is held and self._can.owns(held.part):
+        while self.held.get(zone) is held and self._permissions.owns(held.part):
             await curio.ignore_after(TICK_S, held.bell.wait)
             held.bell.clear()
             try:
@@ -199,17 +203,17 @@
                 await curio.sleep(TICK_S)
             await curio.sleep(PAUSE_S)
 
-    async def _run_commands(self, held: Held) -> None:
+    async def _run_commands(self, held: OwnedPartition) -> None:
         """Stops and starts go out while transactions wait in line.
 
         A cancelled job's tasks have to leave in time, however short changes are (docs/incidents/2026-12-02-commands-
         behind-records.md). Silence is judged here too: in a round it was found late, and a controller cut from its
         workers returned them before it noticed.
         """
-        while self.held.get(held.part.zone) is held and self._can.owns(held.part):
+        while self.held.get(held.part.zone) is held and self._permissions.owns(held.part):
             await curio.sleep(TICK_S)
             try:
-                if (held.part.ready or held.provisional) and self._can.owns(held.part):
+                if (held.part.ready or held.provisional) and self._permissions.owns(held.part):
                     self._obey_cancels(held)
                     await self._send(held)
                     await self.returns.watch_overdue(held, time.monotonic())
@@ -220,9 +224,9 @@
             except Exception:  # must not end the controller
                 log.exception("commands of part %s failed", held.part.zone)
 
-    def _obey_cancels(self, held: Held) -> None:
-        """Cancels that peers passed on while the state service is out of reach."""
-        for ref in self.reach.cancelled:
+    def _obey_cancels(self, held: OwnedPartition) -> None:
+        """Cancels that peers passed on while the state service is out of reachability."""
+        for ref in self.reachability.cancelled:
             held.part.stop_job(ref, time.monotonic())
 
     def _spread_news(self) -> None:
@@ -234,12 +238,12 @@
                 held.dirty.update((key, None) for key in self._dirty if key.startswith(mine))
             self._dirty.clear()
 
-    def _take_news(self, held: Held, now: float) -> None:
+    def _take_news(self, held: OwnedPartition, now: float) -> None:
         if held.dirty:
             held.part.take_records(self.replica.state, held.dirty, now)
             held.dirty.clear()
 
-    async def _prepare(self, held: Held) -> None:
+    async def _prepare(self, held: OwnedPartition) -> None:
         """Takes records in; a part is ready once a copy read after its claim is complete."""
         part, state = held.part, self.replica.state
         if not part.ready:
@@ -258,10 +262,10 @@
             self._take_news(held, time.monotonic())
         self._obey_cancels(held)
 
-    async def _work(self, held: Held) -> None:
+    async def _work(self, held: OwnedPartition) -> None:
         part, state, now = held.part, self.replica.state, time.monotonic()
         writes: list[Write] = []
-        if now >= held.next_tick and self._can.steady(now):
+        if now >= held.next_tick and self._permissions.steady(now):
             held.next_tick = now + PART_TICK_S
             part.tick(now)
             writes = self._machine_writes(part, now)
@@ -273,7 +277,7 @@
             placed = held.placer.run(
                 part, self.view, now, lambda: time.monotonic() > deadline, MOST_PLACED, time.time()
             )
-            if self._can.fresh(now):
+            if self._permissions.fresh(now):
                 for run in placed.preempt:
                     log.info("preempting %s/%d on %s", *run.key, run.machine)
                     part.stop(run, self._grace(run))
@@ -293,7 +297,7 @@
             return GATHER_SCARCE_S
         return GATHER_S * min(1.0, max(0.0, GATHER_BELOW - level) / GATHER_BELOW)
 
-    def _refine(self, held: Held, now: float) -> None:
+    def _refine(self, held: OwnedPartition, now: float) -> None:
         """The round of Tabu search and consolidation, and reopening what was being emptied when tasks wait."""
         part = held.part
         if part.free:
@@ -303,7 +307,7 @@
             return
         first = held.next_search == 0.0
         held.next_search = now + self.tuning.round_s
-        if first or not self._can.fresh(now):
+        if first or not self._permissions.fresh(now):
             return
         deadline = time.monotonic() + self.tuning.budget_ms / 1000
         result = refine(part, self.view, self.tuning, now, self._random, lambda: time.monotonic() > deadline)
@@ -317,13 +321,13 @@
         if result.search is not None and result.search.moves:
             log.info("search of %s: cost %.4f to %.4f", part.zone, result.search.before, result.search.after)
 
-    def _grace(self, run: TaskRun) -> float:
+    def _grace(self, run: TaskAttempt) -> float:
         job = self.replica.state.jobs.get(run.where.job)
         return save_grace_s(job.spec) if job is not None else 0.0
 
     # Records
 
-    def _machine_writes(self, part: Part, now: float) -> list[Write]:
+    def _machine_writes(self, part: Partition, now: float) -> list[Write]:
         """Machines that are new, closed or opened again, or gone."""
         out = []
         on_record = self.replica.state.machines[part.zone]
@@ -347,7 +351,9 @@
                 out.append(Write(key, wanted))
         return out
 
-    async def _commit(self, held: Held, changes: dict[AllotKey, dict[int, TaskEntry]], extra: list[Write]) -> None:
+    async def _commit(
+        self, held: OwnedPartition, changes: dict[AllocationKey, dict[int, TaskEntry]], extra: list[Write]
+    ) -> None:
         """Writes what changed, in transactions within the limits that guard the part and the jobs.
 
         Machines and replicas go first. The rest may stand in line for long, so it goes on beside the rounds: a replica
@@ -365,7 +371,7 @@
             if held.placer.pending:
                 await curio.spawn(self._commit_bulk, held, bulk, daemon=True)
 
-    async def _commit_bulk(self, held: Held, bulk: list[_Change]) -> None:
+    async def _commit_bulk(self, held: OwnedPartition, bulk: list[_Change]) -> None:
         try:
             await self._commit_some(held, bulk, Urgency.STARTS)
         except curio.CancelledError:
@@ -375,14 +381,18 @@
         finally:
             held.placer.pending = {}
 
-    async def _commit_some(self, held: Held, group: list[_Change], urgency: Urgency) -> None:
+    async def _commit_some(self, held: OwnedPartition, group: list[_Change], urgency: Urgency) -> None:
         """Makes some of the changes; what is left is planned again, with what came meanwhile in its place."""
         for batch in self._batches(held.part.zone, group)[:MOST_BATCHES]:
             await self._commit_batch(held.part, batch, urgency)
             await self._send(held)
 
     def _by_urgency(
-        self, part: Part, changes: dict[AllotKey, dict[int, TaskEntry]], extra: list[Write], pending: Iterable[AllotKey]
+        self,
+        part: Partition,
+        changes: dict[AllocationKey, dict[int, TaskEntry]],
+        extra: list[Write],
+        pending: Iterable[AllocationKey],
     ) -> dict[Urgency, list[_Change]]:
         out: dict[Urgency, list[_Change]] = {Urgency.REPLICAS: [_Change(write) for write in extra], Urgency.STARTS: []}
         cleaning = part.left_over(self.replica.state)
@@ -400,9 +410,9 @@
     def _batches(self, zone: str, items: list[_Change]) -> list[list[_Change]]:
         out: list[list[_Change]] = []
         size = changes = 0
-        allots = self.replica.state.zone_allots[zone]
+        allocations = self.replica.state.zone_allocations[zone]
         for item in items:
-            record = allots.get(item.where) if item.where is not None and item.write is None else None
+            record = allocations.get(item.where) if item.where is not None and item.write is None else None
             length = records.change_bytes(record)
             pieces = max(1, ceil(len(record.tasks) / self._record_tasks)) if record is not None else 1
             if not out or changes + pieces > self._most_changes or size + length > records.TXN_BYTES:
@@ -413,15 +423,15 @@
             changes += pieces
         return out
 
-    def _writes_of(self, part: Part, change: _Change) -> list[Write]:
+    def _writes_of(self, part: Partition, change: _Change) -> list[Write]:
         """The change as it applies now, or nothing.
 
-        Another one's transaction may have come between its planning and this moment: writing back an allotment as it
+        Another one's transaction may have come between its planning and this moment: writing back an allocation as it
         was then would bring back tasks that the leader has moved since.
         """
         if change.where is None:
             return [change.write] if change.write is not None else []
-        record = self.replica.state.zone_allots[part.zone].get(change.where)
+        record = self.replica.state.zone_allocations[part.zone].get(change.where)
         if record is None:
             return []
         if change.entries is None:
@@ -432,8 +442,8 @@
             return []
         return [Write(str(where), piece) for where, piece in records.split(change.where, new, self._record_tasks)]
 
-    async def _commit_batch(self, part: Part, batch: list[_Change], urgency: Urgency) -> None:
-        if not self._can.owns(part):
+    async def _commit_batch(self, part: Partition, batch: list[_Change], urgency: Urgency) -> None:
+        if not self._permissions.owns(part):
             return
         writes: list[Write] = []
         guards = {records.PART + part.zone}
@@ -454,13 +464,13 @@
 
     # Commands
 
-    async def _send(self, held: Held) -> None:
+    async def _send(self, held: OwnedPartition) -> None:
         """Starts and stops go straight to the worker; its next report repeats what got lost."""
         part, now = held.part, time.monotonic()
         if part.ready:
             self._spread_news()
             self._take_news(held, now)
-        if not part.attention or not self._can.commands(now):
+        if not part.attention or not self._permissions.commands(now):
             return
         silent = SILENT_REPORTS * self.deployment.workers.report_s
         for name in list(part.attention):
@@ -469,7 +479,7 @@
                 del part.attention[name]
                 continue
             quiet = now - (machine.heard_at or now) > silent
-            if machine.direct_after > now or name in self._in_line or (quiet and name not in part.called_off):
+            if machine.direct_after > now or name in self._in_line or (quiet and name not in part.revoking):
                 continue  # one that is silent would only keep a connection from others
             machine.direct_after = now + (QUIET_PAUSE_S if quiet else 0.5)
             self._in_line.add(name)
@@ -482,17 +492,17 @@
             self._clients.pop(next(iter(self._clients)))
         return client
 
-    async def _direct(self, held: Held, machine: Machine) -> None:
+    async def _direct(self, held: OwnedPartition, machine: Machine) -> None:
         """Commands are worked out when there is a connection for them: in a mass start that may take a while."""
         async with self._direct_slots:
             self._in_line.discard(machine.name)
             now = time.monotonic()
-            if self._can.owns(held.part) and self._can.commands(now):
+            if self._permissions.owns(held.part) and self._permissions.commands(now):
                 sent = held.part.direct(machine)
                 if sent is not None:
                     await self._command(held, machine, sent)
 
-    async def _command(self, held: Held, machine: Machine, sent: wire.DirectCommands) -> None:
+    async def _command(self, held: OwnedPartition, machine: Machine, sent: wire.DirectCommands) -> None:
         part, client = held.part, self._client(machine.addr)
         try:
             status, answer = await client.request("POST", wire.PATH_COMMANDS, wire.encode(sent), DIRECT_S)
--- a/spurarch/coordination/entitlement.py
+++ b/spurarch/coordination/permissions.py
@@ -4,25 +4,37 @@
 
 import time
 
-from spurarch.bookkeeping.replica import Replica
 from spurarch.coordination.membership import Membership
-from spurarch.coordination.part import Part
-from spurarch.coordination.pulse import Pulse
-from spurarch.coordination.reach import Reach
+from spurarch.coordination.partition import Partition
+from spurarch.coordination.stall_detector import StallDetector
+from spurarch.coordination.store_reachability import StoreReachability
+from spurarch.storage.replica import Replica
 
 FRESH_S = 2.0
 
 
-class Entitlement:
+class Permissions:
     """Asked before every answer, command, return and conclusion."""
 
-    def __init__(self, replica: Replica, membership: Membership, reach: Reach, pulse: Pulse, cancel_s: float) -> None:
-        self.replica, self.membership, self.reach, self._pulse = replica, membership, reach, pulse
+    def __init__(
+        self,
+        replica: Replica,
+        membership: Membership,
+        reachability: StoreReachability,
+        stall_detector: StallDetector,
+        cancel_s: float,
+    ) -> None:
+        self.replica, self.membership, self.reachability, self._stall_detector = (
+            replica,
+            membership,
+            reachability,
+            stall_detector,
+        )
         self._cancel_s = cancel_s
 
     def answers(self, now: float) -> bool:
         """May keep workers' leases: no cancellation can have been missed for too long."""
-        return self.reach.entitled(self.replica.synced_at, now)
+        return self.reachability.entitled(self.replica.synced_at, now)
 
     def commands(self, now: float) -> bool:
         """May give commands: that, and it did not stand still since the newest word."""
@@ -30,13 +42,13 @@
 
     def steady(self, now: float) -> bool:
         """Not just woken from standing still without a word from anyone since."""
-        return self._pulse.steady(now, self.reach.word(self.replica.synced_at))
+        return self._stall_detector.steady(now, self.reachability.word(self.replica.synced_at))
 
     def fresh(self, now: float) -> bool:
         """The copy of the records is recent: what only serves placement waits while this controller may be deposed."""
         return now - self.replica.synced_at < FRESH_S and self.steady(now)
 
-    def owns(self, part: Part) -> bool:
+    def owns(self, part: Partition) -> bool:
         """The part is still held as it was when this was begun.
 
         Not by another, and not anew by ourselves, whose earlier knowledge of it would then be as stale as a stranger's.
@@ -46,7 +58,7 @@
 
     def superseded(self, zone: str) -> bool:
         """Another holds the zone by now, as a peer says whose copy is newer than ours."""
-        heard, part = self.reach.parts.get(zone), self.replica.state.parts.get(zone)
+        heard, part = self.reachability.parts.get(zone), self.replica.state.parts.get(zone)
         return heard is not None and heard[0] != self.membership.node and (part is None or heard[1] > part.epoch)
 
     def cancelled_ago(self, job: str) -> float | None:
@@ -55,5 +67,5 @@
         if record is not None and record.cancelled:
             ago = time.time() - record.cancelled_at if record.cancelled_at > 0 else 0.0
             return min(max(ago, 0.0), self._cancel_s)
-        told = self.reach.cancelled.get(job)
+        told = self.reachability.cancelled.get(job)
         return time.monotonic() - told if told is not None else None
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -8,9 +8,7 @@
 from functools import cached_property
 from itertools import groupby, islice
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.records import AllotKey, TaskEntry
-from spurarch.coordination.fit import (
+from spurarch.coordination.best_fit import (
     EPSILON,
     Draft,
     Need,
@@ -22,9 +20,11 @@
     gathering_rooms,
 )
 from spurarch.coordination.gang import GangAttempt, GangState
-from spurarch.coordination.machine import Phase, TaskRun
-from spurarch.coordination.part import Part, live
+from spurarch.coordination.machine import Phase, TaskAttempt
+from spurarch.coordination.partition import Partition, live
 from spurarch.coordination.view import FleetView, JobView
+from spurarch.storage import records
+from spurarch.storage.records import AllocationKey, TaskEntry
 
 GIVE_BACK_S = 1.0  # a task without room here, that would have some elsewhere
 GIVE_BACK_STUCK_S = 45.0  # a task without room anywhere: for so long nothing in the queue has moved
@@ -52,8 +52,8 @@
 class Placement:
     """Outcome of one round."""
 
-    entries: dict[AllotKey, dict[int, TaskEntry]] = field(default_factory=dict)
-    preempt: list[TaskRun] = field(default_factory=list)
+    entries: dict[AllocationKey, dict[int, TaskEntry]] = field(default_factory=dict)
+    preempt: list[TaskAttempt] = field(default_factory=list)
     unfinished: bool = False
 
 
@@ -62,20 +62,26 @@
 
     def __init__(self, longest_wait_s: float = float("inf"), guarantee_wait_s: float = 0.0) -> None:
         self.longest_wait_s, self.guarantee_wait_s = longest_wait_s, guarantee_wait_s
-        self.pending: dict[AllotKey, dict[int, TaskEntry]] = {}  # changes that are under way
+        self.pending: dict[AllocationKey, dict[int, TaskEntry]] = {}  # changes that are under way
         self.scarce = False  # changes are short
         self.silent_s = float("inf")  # a machine not heard for longer takes no tasks
         self._since: dict[tuple[str, int], float] = {}
-        self._allots: dict[AllotKey, float] = {}
+        self._allocations: dict[AllocationKey, float] = {}
         self._claims: dict[tuple[str, int], tuple[float, int]] = {}  # until when, on which machine
         self.moved_at = float("-inf")  # when a task last found room
         self.targets: dict[tuple[str, int], tuple[str, float]] = {}  # where a moved task goes, and until when
         self.reservations: dict[str, Reservation] = {}  # by gang
 
     def run(
-        self, part: Part, view: FleetView, now: float, out_of_time: Callable[[], bool], most: int, wall: float = 0.0
+        self,
+        part: Partition,
+        view: FleetView,
+        now: float,
+        out_of_time: Callable[[], bool],
+        most: int,
+        wall: float = 0.0,
     ) -> Placement:
-        """One round; what the time or `most` changed allotments cut off comes first in the next."""
+        """One round; what the time or `most` changed allocations cut off comes first in the next."""
         self.targets = {k: t for k, t in self.targets.items() if t[1] > now}
         waiting_jobs = {where.job for where in part.free}
         self.reservations = {j: r for j, r in self.reservations.items() if r.until > now and j in waiting_jobs}
@@ -88,13 +94,13 @@
             self.moved_at = now
         if not turn.result.unfinished and not self.pending:
             self._since = {k: t for k, t in self._since.items() if k in turn.waiting}
-            self._allots = {k: t for k, t in self._allots.items() if k in part.free}
+            self._allocations = {k: t for k, t in self._allocations.items() if k in part.free}
             self._claims = {k: t for k, t in self._claims.items() if k in turn.waiting}
         return turn.result
 
-    def since_allot(self, where: AllotKey, now: float) -> float:
-        """When tasks of the allotment were first found waiting."""
-        return self._allots.setdefault(where, now)
+    def since_allocation(self, where: AllocationKey, now: float) -> float:
+        """When tasks of the allocation were first found waiting."""
+        return self._allocations.setdefault(where, now)
 
     def since(self, key: tuple[str, int], now: float) -> float:
         """When the task was first found without room."""
@@ -117,7 +123,7 @@
 class _Round:
     """One round of a part over the shared tables; the draft is undone at its end."""
 
-    def __init__(self, placer: Placer, part: Part, view: FleetView, now: float, wall: float) -> None:
+    def __init__(self, placer: Placer, part: Partition, view: FleetView, now: float, wall: float) -> None:
         self.placer, self.part, self.view, self.now, self.wall = placer, part, view, now, wall
         self.result = Placement()
         self.waiting: set[tuple[str, int]] = set()
@@ -133,7 +139,7 @@
         self._gathering = 0
         self._chosen: set[tuple[str, int]] = set()  # tasks that this round stops
         self._stopped: dict[int, float] = {}  # by team, CPUs of work that this round stops for guarantees
-        self._victims_by_guarantee: list[TaskRun] | None = None
+        self._victims_by_guarantee: list[TaskAttempt] | None = None
         self._gangs_seen: set[str] = set()
         self._reserved_rooms: list[Room] = []  # kept for gangs: arrays don't get them
 
@@ -182,30 +188,32 @@
                     self.draft.take(room, job.need)
 
     def _wanted(self, ref: str) -> bool:
-        trouble = self.part.trouble.get(ref)
-        return live(self.view.state, ref) and (trouble is None or trouble.not_before <= self.now)
+        backoff = self.part.backoffs.get(ref)
+        return live(self.view.state, ref) and (backoff is None or backoff.not_before <= self.now)
 
-    def _turns(self, wheres: list[AllotKey]) -> list[tuple[Callable[[AllotKey, JobView], None], list[AllotKey]]]:
+    def _turns(
+        self, wheres: list[AllocationKey]
+    ) -> list[tuple[Callable[[AllocationKey, JobView], None], list[AllocationKey]]]:
         """Who is placed after whom, among work of one priority.
 
         Where tasks wait for room, what matters is which of them gets a machine that becomes free: with the image there
         it starts at once, without it fetches for seconds with the room idle. So a task that has waited for less than
         its fetch would take leaves the room to one that has its image there.
         """
-        patient: list[AllotKey] = []
-        others: list[AllotKey] = []
+        patient: list[AllocationKey] = []
+        others: list[AllocationKey] = []
         for where in wheres:
             (patient if self._patient(where) else others).append(where)
         return [(self._place, others), (self._place_warm, patient), (self._place, patient)]
 
-    def _patient(self, where: AllotKey) -> bool:
+    def _patient(self, where: AllocationKey) -> bool:
         job = self.view.jobs[where.job]
         if not job.array:
             return False
-        since = self.placer.since_allot(where, self.now)
+        since = self.placer.since_allocation(where, self.now)
         return self.now - since < self.view.fetch_s(job)
 
-    def _place(self, where: AllotKey, job: JobView) -> None:
+    def _place(self, where: AllocationKey, job: JobView) -> None:
         for key in [k for k in self._reserved if k[0] == where.job]:
             self.draft.take(self._reserved.pop(key), job.need, -1)
         if job.service:
@@ -215,7 +223,7 @@
         else:
             self._place_group(where, job)
 
-    def _place_warm(self, where: AllotKey, job: JobView) -> None:
+    def _place_warm(self, where: AllocationKey, job: JobView) -> None:
         """As many tasks of an array as find room on machines that have its image."""
         warm = [room for room in self._roomy if job.need.image in room.images]
         entries = iter(self._left(where))
@@ -223,12 +231,12 @@
             for entry in islice(entries, number):
                 self._assign(where, entry, room)
 
-    def _left(self, where: AllotKey) -> list[TaskEntry]:
+    def _left(self, where: AllocationKey) -> list[TaskEntry]:
         """Tasks that wait and have not been placed in this round."""
         placed = self.result.entries.get(where, {})
         return [entry for entry in self.part.free[where] if entry.index not in placed]
 
-    def _rank(self, where: AllotKey) -> tuple[tuple[int, bool, float, float], str, int]:
+    def _rank(self, where: AllocationKey) -> tuple[tuple[int, bool, float, float], str, int]:
         job = self.view.jobs[where.job]
         return self.view.rank(job, self._starving(job)), where.job, where.chunk
 
@@ -263,18 +271,18 @@
                 out[key] = room
         return out
 
-    def _assign(self, where: AllotKey, entry: TaskEntry, room: Room, attempt: int | None = None) -> None:
+    def _assign(self, where: AllocationKey, entry: TaskEntry, room: Room, attempt: int | None = None) -> None:
         machine = self.part.machines[self.view.machines.name(room.machine)]
         number = entry.attempt + 1 if attempt is None else attempt
         new = TaskEntry(entry.index, records.ASSIGNED, number, machine.name, machine.session)
         self.result.entries.setdefault(where, {})[entry.index] = new
 
-    def _give_back(self, where: AllotKey, entry: TaskEntry) -> None:
+    def _give_back(self, where: AllocationKey, entry: TaskEntry) -> None:
         self.result.entries.setdefault(where, {})[entry.index] = TaskEntry(entry.index, records.RETURNED, entry.attempt)
 
     # Equal tasks as a group
 
-    def _place_group(self, where: AllotKey, job: JobView) -> None:
+    def _place_group(self, where: AllocationKey, job: JobView) -> None:
         waiting = self._left(where)
         entries, count = iter(waiting), len(waiting)
         hopeless = self._hopeless(job.need)
@@ -316,7 +324,7 @@
             self._lowers[priority] = any(cpus > EPSILON for cpus, *_ in used)
         return self._lowers[priority]
 
-    def _await_claim(self, where: AllotKey, job: JobView, entry: TaskEntry) -> bool:
+    def _await_claim(self, where: AllocationKey, job: JobView, entry: TaskEntry) -> bool:
         """Room is being freed for the task: it goes there, or keeps the room from others until it is free."""
         machine = self.placer.claimed((where.job, entry.index), self.now)
         room = next((r for r in self.rooms if r.machine == machine), None) if machine is not None else None
@@ -466,7 +474,7 @@
         trial, rooms, victims = Draft(), [], []
         try:
             for room in sorted(self._roomy_or_busy(), key=lambda room: (-room.free_cpus, room.machine)):
-                picked: list[TaskRun] = []
+                picked: list[TaskAttempt] = []
                 for run in self._lower_runs(job.need, room):
                     if room.slots(job.need, count) >= count:
                         break
@@ -499,7 +507,7 @@
 
     # Replicas: one by one
 
-    def _place_replicas(self, where: AllotKey, job: JobView) -> None:
+    def _place_replicas(self, where: AllocationKey, job: JobView) -> None:
         need, full = job.need, self._hopeless(job.need)
         for entry in self.part.free[where]:
             key = where.job, entry.index
@@ -551,7 +559,7 @@
 
     def _make_room(self, key: tuple[str, int], need: Need, rooms: list[Room], wait_s: float) -> bool:
         """Stops the youngest tasks of lower priority on the machine that loses the fewest of them."""
-        best: list[TaskRun] = []
+        best: list[TaskAttempt] = []
         best_room: Room | None = None
         for room in rooms:
             if not room.fits_by_preemption(need):
@@ -566,7 +574,7 @@
         self._stop(key, need, best, best_room, wait_s)
         return True
 
-    def _lower_runs(self, need: Need, room: Room, gangs: bool = False) -> list[TaskRun]:
+    def _lower_runs(self, need: Need, room: Room, gangs: bool = False) -> list[TaskAttempt]:
         """Tasks on a machine that may be stopped for work of a higher priority, in the order in which they should be.
 
         Members of gangs come last, and only for the most urgent work: each takes its whole gang with it.
@@ -579,15 +587,15 @@
         lower.sort(key=lambda run: (self._in_gang(run), -self._priority(run), -(run.running_at or self.now)))
         return lower
 
-    def _in_gang(self, run: TaskRun) -> bool:
+    def _in_gang(self, run: TaskAttempt) -> bool:
         return self.part.gangs.get(run.where.job) is not None
 
-    def _loss(self, runs: list[TaskRun]) -> int:
+    def _loss(self, runs: list[TaskAttempt]) -> int:
         """How many tasks would stop with these."""
         gangs = {run.where.job: gang.size for run in runs if (gang := self.part.gangs.get(run.where.job)) is not None}
         return sum(gangs.values()) + sum(run.where.job not in gangs for run in runs)
 
-    def _stop(self, key: tuple[str, int], need: Need, runs: list[TaskRun], room: Room, wait_s: float) -> None:
+    def _stop(self, key: tuple[str, int], need: Need, runs: list[TaskAttempt], room: Room, wait_s: float) -> None:
         self.waiting.add(key)
         self.placer.claim(key, self.now + wait_s, room.machine)
         self.result.preempt += runs
@@ -596,7 +604,7 @@
             self.draft.take(room, self.view.jobs[run.where.job].need, -1)
         self.draft.take(room, need)  # nobody else may count on this room
 
-    def _enough(self, need: Need, room: Room, candidates: list[TaskRun]) -> list[TaskRun]:
+    def _enough(self, need: Need, room: Room, candidates: list[TaskAttempt]) -> list[TaskAttempt]:
         """The first of the candidates that make room for the task when they leave; none if that is not enough."""
         trial, chosen = Draft(), []
         try:
@@ -635,9 +643,9 @@
             return True
         return False
 
-    def _stoppable(self, run: TaskRun) -> bool:
+    def _stoppable(self, run: TaskAttempt) -> bool:
         return not run.stop and run.phase < Phase.STOPPING and run.key not in self._chosen
 
-    def _priority(self, run: TaskRun) -> int:
+    def _priority(self, run: TaskAttempt) -> int:
         job = self.view.jobs.get(run.where.job)
         return job.need.priority if job else 0
--- a/spurarch/coordination/renting.py
+++ b/spurarch/coordination/provisioning.py
@@ -9,7 +9,7 @@
 from itertools import islice
 
 from spurarch.coordination.admission import Shortage
-from spurarch.coordination.fit import EPSILON, Need, Room
+from spurarch.coordination.best_fit import EPSILON, Need, Room
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 
--- a/spurarch/coordination/returning.py
+++ b/spurarch/coordination/release_candidates.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.replica import State
 from spurarch.coordination.machine import Machine, Standing
-from spurarch.coordination.part import FAULTS_BEFORE_PAUSE, Part
+from spurarch.coordination.partition import FAULTS_BEFORE_PAUSE, Partition
 from spurarch.coordination.view import FleetView
 from spurarch.settings import Tuning, Workers
+from spurarch.storage import records
+from spurarch.storage.replica import State
 
 CUT_SILENCE_S = 2.5
 CUT_REPORTS = 2.2
@@ -20,7 +20,7 @@
 OVERDUE_REPORTS = 4.0
 
 
-def cut_off(part: Part, workers: Workers, now: float, woke_at: float = 0.0) -> bool:
+def cut_off(part: Partition, workers: Workers, now: float, woke_at: float = 0.0) -> bool:
     """Most of a part's machines fell silent at once: more likely this controller is cut off than they are gone.
 
     Returning them would throw away a zone of healthy machines that report to another controller by now. Silence counts
@@ -42,7 +42,7 @@
 
 
 def silent_machines(
-    part: Part, tuning: Tuning, workers: Workers, old_holder_s: float, now: float, cut: bool, woke_at: float = 0.0
+    part: Partition, tuning: Tuning, workers: Workers, old_holder_s: float, now: float, cut: bool, woke_at: float = 0.0
 ) -> list[Machine]:
     """Silent and deaf machines to return, which is the fastest proof that their tasks are off.
 
@@ -55,7 +55,7 @@
     return out
 
 
-def _suspect(part: Part, workers: Workers, now: float, woke_at: float) -> bool:
+def _suspect(part: Partition, workers: Workers, now: float, woke_at: float) -> bool:
     """So many machines are late with their reports that this may be a cut, before it is plain to see.
 
     When a controller is cut off, the first machines pass the patience for a single one before half of them pass the
@@ -67,7 +67,7 @@
 
 
 def _silent(
-    part: Part, machine: Machine, tuning: Tuning, workers: Workers, old_holder_s: float, now: float, woke_at: float
+    part: Partition, machine: Machine, tuning: Tuning, workers: Workers, old_holder_s: float, now: float, woke_at: float
 ) -> bool:
     if machine.standing is Standing.GONE or machine.returning:
         return False
@@ -84,7 +84,7 @@
     return now - max(machine.heard_at or machine.first_seen, woke_at) > patience
 
 
-def overdue_machines(part: Part, workers: Workers, now: float, cut: bool, woke_at: float = 0.0) -> list[Machine]:
+def overdue_machines(part: Partition, workers: Workers, now: float, cut: bool, woke_at: float = 0.0) -> list[Machine]:
     """Machines that may still hold a cancelled task, though its stop was asked for long ago.
 
     A machine that hangs neither ends its tasks nor lets its lease end them, and only its return proves them gone: a wrong
@@ -93,11 +93,11 @@
     else, who stops the task; they get longer, until a holder that is cut off has had to let go of them.
     """
     out = []
-    for name in list(part.called_off):
+    for name in list(part.revoking):
         machine = part.machines.get(name)
         since = part.overdue(machine) if machine is not None and machine.standing is not Standing.GONE else None
         if machine is None or since is None:
-            del part.called_off[name]
+            del part.revoking[name]
             continue
         share = OVERDUE_UNHEARD if cut or machine.standing is Standing.UNKNOWN else OVERDUE
         if now - since > share * workers.cancel_s and now - woke_at > OVERDUE_REPORTS * workers.report_s:
@@ -114,16 +114,16 @@
     machines unheard.
     """
     out: dict[str, str] = {}
-    for ref in list(state.allots):
+    for ref in list(state.allocations):
         ago = cancelled_ago(ref)
         if ago is not None and ago > OVERDUE_UNHEARD * workers.cancel_s:
-            for where, record in state.allots[ref].items():
+            for where, record in state.allocations[ref].items():
                 if where.zone in zones:
                     out.update((e.machine, where.zone) for e in record.tasks if e.state == records.ASSIGNED)
     return out
 
 
-def idle_machines(part: Part, view: FleetView, tuning: Tuning, now: float) -> list[Machine]:
+def idle_machines(part: Partition, view: FleetView, tuning: Tuning, now: float) -> list[Machine]:
     """Machines without a task: emptied ones at once, others after a while and beyond the share of room set aside."""
     closed = set(map(view.zones.index, view.dark()))
     rooms = [r for r in view.rooms.values() if r.open and r.zone not in closed]
--- a/spurarch/coordination/returns.py
+++ b/spurarch/coordination/releasing.py
@@ -8,26 +8,26 @@
 
 import curio
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.cloud import Cloud, CloudError, NoCapacityError
-from spurarch.bookkeeping.records import MachineRecord
-from spurarch.bookkeeping.replica import Replica, Write
-from spurarch.bookkeeping.store import Verdict
-from spurarch.coordination.entitlement import Entitlement
-from spurarch.coordination.held import Held
 from spurarch.coordination.machine import Machine, Standing
 from spurarch.coordination.membership import Membership
-from spurarch.coordination.part import RETURNED_KEPT, Part
-from spurarch.coordination.pulse import Pulse
-from spurarch.coordination.returning import (
+from spurarch.coordination.owned_partition import OwnedPartition
+from spurarch.coordination.partition import RETURNED_KEPT, Partition
+from spurarch.coordination.permissions import Permissions
+from spurarch.coordination.release_candidates import (
     cut_off,
     idle_machines,
     orphaned_machines,
     overdue_machines,
     silent_machines,
 )
+from spurarch.coordination.stall_detector import StallDetector
 from spurarch.coordination.view import FleetView
 from spurarch.settings import Deployment, Tuning
+from spurarch.storage import records
+from spurarch.storage.cloud import Cloud, CloudError, NoCapacityError
+from spurarch.storage.records import MachineRecord
+from spurarch.storage.replica import Replica, Write
+from spurarch.storage.store import Verdict
 
 log = logging.getLogger(__name__)
 
@@ -40,59 +40,59 @@
 CUT_S = 6.0  # without a read of the state service: this is no passing slowness
 
 
-class Returns:
+class MachineReleaser:
     """All returns of this controller, and what it makes of the silence of its machines."""
 
     def __init__(
-        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, can: Entitlement, pulse: Pulse,
-        deployment: Deployment, tuning: Tuning, held: dict[str, Held],
+        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, can: Permissions, stall_detector: StallDetector,
+        deployment: Deployment, tuning: Tuning, held: dict[str, OwnedPartition],
     ) -> None:  # fmt: skip
         self.replica, self.membership, self.view, self.cloud = replica, membership, view, cloud
-        self.reach, self._can, self._pulse = can.reach, can, pulse
+        self.reachability, self._permissions, self._stall_detector = can.reachability, can, stall_detector
         self.deployment, self.tuning, self.held = deployment, tuning, held
         self.heard_elsewhere: dict[str, dict[str, int]] = {}  # by peer and zone, workers that look for their holder
         self._next_orphans = 0.0
         self._orphans_under_way = False
         self._returned: dict[str, str] = {}  # machines that this process returned, and their zones
 
-    async def watch_silence(self, held: Held, now: float) -> None:
+    async def watch_silence(self, held: OwnedPartition, now: float) -> None:
         """Starts the return of machines that are silent, deaf, or were never seen by this holder."""
-        if now < held.next_look or not self._can.fresh(now):
+        if now < held.next_look or not self._permissions.fresh(now):
             return
         held.next_look = now + RETURNS_S
-        workers, woke_at = self.deployment.workers, self._pulse.woke_at
+        workers, woke_at = self.deployment.workers, self._stall_detector.woke_at
         held.cut = cut_off(held.part, workers, now, woke_at)
         self._note_cut(held, now)
-        found = silent_machines(held.part, self.tuning, workers, self.reach.limit, now, held.cut, woke_at)
+        found = silent_machines(held.part, self.tuning, workers, self.reachability.limit, now, held.cut, woke_at)
         await self._start_return(held, found, now, self._return)
 
-    async def watch_overdue(self, held: Held, now: float) -> None:
-        """Returns machines whose cancelled tasks won't show that they left, whether or not the state service answers."""
+    async def watch_overdue(self, held: OwnedPartition, now: float) -> None:
+        """MachineReleaser machines whose cancelled tasks won't show that they left, whether or not the state service answers."""
         part = held.part
         if (
-            not part.called_off
+            not part.revoking
             or now < held.next_overdue
-            or not self._can.steady(now)
-            or self._can.superseded(part.zone)
+            or not self._permissions.steady(now)
+            or self._permissions.superseded(part.zone)
         ):
             return
         held.next_overdue = now + RETURNS_S
-        found = overdue_machines(part, self.deployment.workers, now, held.cut, self._pulse.woke_at)
+        found = overdue_machines(part, self.deployment.workers, now, held.cut, self._stall_detector.woke_at)
         await self._start_return(held, found, now, self._return_overdue)
 
     async def watch_orphans(self, now: float) -> None:
         """The same for parts that nobody holds, in an outage: whoever lives may return such machines."""
-        if now < self._next_orphans or now - self.replica.synced_at < CUT_S or not self._can.steady(now):
+        if now < self._next_orphans or now - self.replica.synced_at < CUT_S or not self._permissions.steady(now):
             return
-        if not self.reach.outage(now):
+        if not self.reachability.outage(now):
             return  # a controller that is alone would take everybody's machines for orphaned
         self._next_orphans = now + RETURNS_S
         zones = {
             zone for zone, part in self.replica.state.parts.items()
-            if self.membership.holds(zone) is None and not self._can.superseded(zone)
-            and not self.reach.answers(part.node, now, part.boot)
+            if self.membership.holds(zone) is None and not self._permissions.superseded(zone)
+            and not self.reachability.answers(part.node, now, part.boot)
         }  # fmt: skip
-        found = orphaned_machines(self.replica.state, zones, self._can.cancelled_ago, self.deployment.workers)
+        found = orphaned_machines(self.replica.state, zones, self._permissions.cancelled_ago, self.deployment.workers)
         left = {name: zone for name, zone in found.items() if name not in self._returned}
         if left and not self._orphans_under_way:
             self._orphans_under_way = True
@@ -113,13 +113,17 @@
         while len(self._returned) > RETURNED_KEPT:
             del self._returned[next(iter(self._returned))]
 
-    async def _return_overdue(self, held: Held, machines: list[Machine]) -> None:
+    async def _return_overdue(self, held: OwnedPartition, machines: list[Machine]) -> None:
         part = held.part
         log.info("returning %s: cancelled tasks may be on them", " ".join(m.name for m in machines))
 
         def still() -> bool:
             now = time.monotonic()
-            return self._can.owns(part) and self._can.steady(now) and any(part.overdue(m) is not None for m in machines)
+            return (
+                self._permissions.owns(part)
+                and self._permissions.steady(now)
+                and any(part.overdue(m) is not None for m in machines)
+            )
 
         try:
             await self._release(held, machines, still)
@@ -135,14 +139,14 @@
         on_record = self.replica.state.machines
         return [name for name, zone in self._returned.items() if name in on_record[zone]][:RETURN_AT_ONCE]
 
-    async def return_idle(self, held: Held, now: float) -> None:
+    async def return_idle(self, held: OwnedPartition, now: float) -> None:
         """Starts the return of machines without work; in line with placing, which might give them some."""
-        if now >= held.next_returns and self._can.fresh(now) and not held.cut:
+        if now >= held.next_returns and self._permissions.fresh(now) and not held.cut:
             held.next_returns = now + RETURNS_S
             await self._start_return(held, idle_machines(held.part, self.view, self.tuning, now), now, self._return)
 
     async def _start_return(
-        self, held: Held, found: list[Machine], now: float, how: Callable[[Held, list[Machine]], Awaitable[None]]
+        self, held: OwnedPartition, found: list[Machine], now: float, how: Callable[[OwnedPartition, list[Machine]], Awaitable[None]]
     ) -> None:  # fmt: skip
         machines = [m for m in found if m.return_after <= now][:RETURN_AT_ONCE]
         if machines:
@@ -161,7 +165,7 @@
             if zone in self.held:
                 self.held[zone].next_look = 0.0  # what is left of those workers' leases is short
 
-    def _note_cut(self, held: Held, now: float) -> None:
+    def _note_cut(self, held: OwnedPartition, now: float) -> None:
         """Most machines of a part fell silent: whose fault is it?
 
         If others hear those workers, this controller is cut off from them, and another should take the part. If nobody
@@ -185,25 +189,25 @@
             elsewhere = sum(heard.get(zone, 0) for heard in self.heard_elsewhere.values())
             blind = not self.heard_elsewhere and now - held.cut_since > BLIND_S
             if elsewhere >= max(1, min(STRANGERS, len(part.machines) // 4)) or (blind and not part.dark):
-                self.membership.note_unfit(zone, now)
+                self.membership.note_unheard(zone, now)
                 log.warning("most machines of %s are silent: another controller should take the part", zone)
             elif not part.dark and self.heard_elsewhere:
                 part.dark = True
                 log.warning("nobody hears the machines of %s", zone)
         self.membership.note_dark(zone, part.dark)
 
-    async def _return(self, held: Held, machines: list[Machine]) -> None:
-        """Returns machines in one call: calls are few, and a wave of silent machines has many."""
+    async def _return(self, held: OwnedPartition, machines: list[Machine]) -> None:
+        """MachineReleaser machines in one call: calls are few, and a wave of silent machines has many."""
         part, asked = held.part, machines
         try:
             # A controller cut from the state service may have been deposed: to it, all machines of its old part look
             # silent while they report to the new holder, and returning them would end healthy work.
-            if not await self.replica.sync() or not self._can.owns(part):
+            if not await self.replica.sync() or not self._permissions.owns(part):
                 return
             idle = [m for m in machines if m.standing is Standing.KNOWN and not m.runs]
             if not await self._close(part, idle):
                 return
-            if not self._can.owns(part):
+            if not self._permissions.owns(part):
                 return
             # A task may have been recorded onto one of them meanwhile.
             machines = [m for m in machines if m not in idle or not m.runs]
@@ -213,11 +217,13 @@
                 state = "deaf" if machine.deaf else machine.standing.value
                 log.info("returning %s (%s, %d tasks)", machine.name, state, len(machine.runs))
             # The line in front of the cloud may be long, and this process may stand still in it.
-            await self._release(held, machines, lambda: self._can.owns(part) and self._can.fresh(time.monotonic()))
+            await self._release(
+                held, machines, lambda: self._permissions.owns(part) and self._permissions.fresh(time.monotonic())
+            )
         finally:
             self._keep_rest(asked)
 
-    async def _release(self, held: Held, machines: list[Machine], still: Callable[[], bool]) -> None:
+    async def _release(self, held: OwnedPartition, machines: list[Machine], still: Callable[[], bool]) -> None:
         """Has the cloud take machines back; its answer proves that everything on them is gone."""
         try:
             await self.cloud.release([m.name for m in machines], still)
@@ -241,7 +247,7 @@
                 machine.return_after = time.monotonic() + RETURNS_S
                 machine.returning = False
 
-    async def _close(self, part: Part, machines: list[Machine]) -> bool:
+    async def _close(self, part: Partition, machines: list[Machine]) -> bool:
         """Closes machines on record first: no task may be assigned to them while the cloud takes them down."""
         writes = []
         for machine in machines:
--- a/spurarch/coordination/pulse.py
+++ b/spurarch/coordination/stall_detector.py
@@ -11,7 +11,7 @@
 GAP_S = 2.0  # less than a member's lease lasts after its latest renewal, so that nobody took over in a shorter one
 
 
-class Pulse:
+class StallDetector:
     """Notices gaps in its own calls; whoever calls first after one finds it."""
 
     def __init__(self) -> None:
--- a/spurarch/coordination/reach.py
+++ b/spurarch/coordination/store_reachability.py
@@ -18,13 +18,13 @@
 
 from __future__ import annotations
 
-from spurarch.protocol import hints
+from spurarch.protocol import peer_messages
 
 DRIFT = 1.001
 ALIVE_S = 4.0
 
 
-class Reach:
+class StoreReachability:
     """Collects words from the state service and from peers."""
 
     def __init__(self, peers: list[str], cancel_s: float, lease_s: float) -> None:
@@ -37,7 +37,7 @@
         self.parts: dict[str, tuple[str, int]] = {}
         self.peer_reaches_at = float("-inf")
 
-    def pong(self, peer: str, sent: float, received: float, answer: hints.Pong, synced_at: float) -> None:
+    def pong(self, peer: str, sent: float, received: float, answer: peer_messages.Pong, synced_at: float) -> None:
         """A peer answered a ping sent at `sent`."""
         self.note_cancelled(answer.cancelled, received)
         for zone, node, epoch in answer.parts:
--- a/spurarch/coordination/tabu.py
+++ b/spurarch/coordination/tabu.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from spurarch.coordination.fit import Need, Room
+from spurarch.coordination.best_fit import Need, Room
 
 
 @dataclass(slots=True, frozen=True)
--- a/spurarch/coordination/users.py
+++ b/spurarch/coordination/users.py
@@ -9,15 +9,15 @@
 
 import msgspec
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.limits import Urgency
-from spurarch.bookkeeping.records import JobRecord
-from spurarch.bookkeeping.replica import Replica, Write
-from spurarch.bookkeeping.store import StoreUnavailableError, Verdict
 from spurarch.coordination.membership import gangs_supported
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import Deployment
+from spurarch.storage import records
+from spurarch.storage.limits import Urgency
+from spurarch.storage.records import JobRecord
+from spurarch.storage.replica import Replica, Write
+from spurarch.storage.store import StoreUnavailableError, Verdict
 from spurarch.transport.http import Response
 
 log = logging.getLogger(__name__)
--- a/spurarch/coordination/view.py
+++ b/spurarch/coordination/view.py
@@ -10,13 +10,13 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.records import AllotKey, AllotRecord
-from spurarch.bookkeeping.replica import State
-from spurarch.coordination.fit import EPSILON, Need, Room
+from spurarch.coordination.best_fit import EPSILON, Need, Room
 from spurarch.protocol import wire
 from spurarch.protocol.names import Names
 from spurarch.settings import Objective, Team
+from spurarch.storage import records
+from spurarch.storage.records import AllocationKey, AllocationRecord
+from spurarch.storage.replica import State
 
 IMAGES_KEPT = 32
 START_OBJECTIVE = "wait"  # an aim on how soon the tasks of a class start
@@ -75,7 +75,7 @@
 
 @dataclass(slots=True)
 class _Booked:
-    """What one allotment added to the tables."""
+    """What one allocation added to the tables."""
 
     zone: int
     on: dict[int, int] = field(default_factory=dict)  # machine -> tasks
@@ -103,9 +103,9 @@
         self.running: dict[int, dict[int, float]] = defaultdict(lambda: defaultdict(float))  # by team and zone, CPUs
         self.limits: dict[int, Team] = {}
         self.offers: dict[str, wire.MachineType] = {}
-        self._booked: dict[AllotKey, _Booked] = {}
-        self._waiting: dict[AllotKey, _Booked] = {}
-        self._held: dict[int, dict[AllotKey, int]] = defaultdict(dict)  # by machine
+        self._booked: dict[AllocationKey, _Booked] = {}
+        self._waiting: dict[AllocationKey, _Booked] = {}
+        self._held: dict[int, dict[AllocationKey, int]] = defaultdict(dict)  # by machine
         self._cached: dict[int, dict[int, None]] = defaultdict(dict)
         self._wanted: dict[str, int] = {}  # by job: tasks that are not over
         self._guaranteed: set[str] | None = None
@@ -130,7 +130,7 @@
         self._dirty.clear()
         self._usual = None
         touched: dict[str, None] = {}
-        allots: list[AllotKey] = []
+        allocations: list[AllocationKey] = []
         for key in keys:
             if key.startswith(records.JOB):
                 touched[key[len(records.JOB) :]] = None
@@ -138,12 +138,12 @@
             elif key.startswith(records.MACHINE):
                 self._take_machine(*records.parse_machine_key(key))
             elif key.startswith(records.ALLOT):
-                allots.append(AllotKey.parse(key))
-                touched[allots[-1].job] = None
+                allocations.append(AllocationKey.parse(key))
+                touched[allocations[-1].job] = None
             elif key.startswith(records.ADMISSION):
                 touched[key[len(records.ADMISSION) :]] = None
-        for where in allots:
-            self._take_allot(where)
+        for where in allocations:
+            self._take_allocation(where)
         for ref in touched:
             self._settle(ref)
 
@@ -155,12 +155,12 @@
         record = self.state.jobs.get(ref)
         first = self.state.admitted.get(ref)
         # Without a count, all tasks were admitted by one transaction, if any were.
-        job.admitted = first.next if first else job.tasks if ref in self.state.allots else 0
+        job.admitted = first.next if first else job.tasks if ref in self.state.allocations else 0
         wants = (job.tasks - job.ended) if record is not None and not record.cancelled else 0
         if wants != self._wanted.get(ref, 0):
             self._wanted[ref] = wants
             self._guaranteed = None
-        if record is None and ref not in self.state.allots:
+        if record is None and ref not in self.state.allocations:
             del self.jobs[ref]
             self._wanted.pop(ref, None)
 
@@ -278,26 +278,26 @@
                 set(self._cached[machine]),
             )  # fmt: skip
             self.rooms[machine] = self.zone_rooms[where][machine] = room
-            for allot, count in self._held[machine].items():
-                room.take(self.jobs[allot.job].need, count)
+            for allocation, count in self._held[machine].items():
+                room.take(self.jobs[allocation.job].need, count)
         room.open = record.open
 
-    def _take_allot(self, where: AllotKey) -> None:
+    def _take_allocation(self, where: AllocationKey) -> None:
         job = self.jobs.get(where.job)
         if job is None:
-            return  # over; its allotments hold nothing that still runs
+            return  # over; its allocations hold nothing that still runs
         old = self._booked.pop(where, None)
         if old is not None:
             self._waiting.pop(where, None)
             self._count(where, job, old, -1)
-        record = self.state.allots.get(where.job, {}).get(where)
+        record = self.state.allocations.get(where.job, {}).get(where)
         if record is not None:
             self._booked[where] = new = self._sum(where, record)
             if new.free:
                 self._waiting[where] = new
             self._count(where, job, new, 1)
 
-    def _sum(self, where: AllotKey, record: AllotRecord) -> _Booked:
+    def _sum(self, where: AllocationKey, record: AllocationRecord) -> _Booked:
         booked = _Booked(self.zones.index(where.zone))
         for entry in record.tasks:
             if entry.state == records.ASSIGNED:
@@ -313,7 +313,7 @@
                 booked.returned += 1
         return booked
 
-    def _count(self, where: AllotKey, job: JobView, booked: _Booked, sign: int) -> None:
+    def _count(self, where: AllocationKey, job: JobView, booked: _Booked, sign: int) -> None:
         charged = booked.assigned + booked.free
         job.in_zone[booked.zone] += sign * charged
         job.charged += sign * charged
@@ -354,6 +354,6 @@
         rate = max((offer.fetch_gb_per_s for offer in self.offers.values()), default=0.0)
         return job.image_gb / rate if rate > 0 else 0.0
 
-    def waiting(self) -> list[tuple[AllotKey, JobView, int, int]]:
-        """Admitted tasks that no machine has yet: how many of which allotment, and how many were tried often."""
+    def waiting(self) -> list[tuple[AllocationKey, JobView, int, int]]:
+        """Admitted tasks that no machine has yet: how many of which allocation, and how many were tried often."""
         return [(where, self.jobs[where.job], booked.free, booked.tried) for where, booked in self._waiting.items()]
--- a/spurarch/protocol/hints.py
+++ b/spurarch/protocol/peer_messages.py
@@ -55,16 +55,16 @@
     writes_refused: int = 0
 
 
-Hint = Wake | Ping | Pong | Cancelled | Load
+PeerMessage = Wake | Ping | Pong | Cancelled | Load
 
 encode = msgspec.msgpack.encode
-_decoder = msgspec.msgpack.Decoder(Hint)
+_decoder = msgspec.msgpack.Decoder(PeerMessage)
 
 
-def decode(frame: bytes) -> Hint | None:
+def decode(frame: bytes) -> PeerMessage | None:
     """A peer's frame, or None if it can't be read."""
     try:
-        hint: Hint = _decoder.decode(frame)
+        hint: PeerMessage = _decoder.decode(frame)
         return hint
     except msgspec.DecodeError:
         return None
--- a/spurarch/bookkeeping/cloud.py
+++ b/spurarch/storage/cloud.py
@@ -9,8 +9,8 @@
 import curio
 import msgspec
 
-from spurarch.bookkeeping.limits import TokenBucket
 from spurarch.protocol import wire
+from spurarch.storage.limits import TokenBucket
 from spurarch.transport.http import NoAnswerError
 from spurarch.transport.network import Requests
 
@@ -89,7 +89,7 @@
         return _decode(wire.names_decoder, answer).machines
 
     async def release(self, names: list[str], still: Callable[[], bool]) -> None:
-        """Returns up to 100 machines; they are gone when this ends without an error. `still` as in `rent`."""
+        """MachineReleaser up to 100 machines; they are gone when this ends without an error. `still` as in `rent`."""
         await self._call("POST", wire.PATH_RELEASE, wire.encode(wire.MachineNames(names)), still)
 
 
--- a/spurarch/bookkeeping/records.py
+++ b/spurarch/storage/records.py
@@ -39,7 +39,7 @@
 
 
 class AdmissionRecord(Struct, array_like=True):
-    """How many tasks of a job were admitted, and in how many allotments.
+    """How many tasks of a job were admitted, and in how many allocations.
 
     Every admission writes it, so two of them can never both succeed, however late one is executed.
     """
@@ -58,13 +58,13 @@
     session: int = 0
 
 
-class AllotRecord(Struct, array_like=True):
+class AllocationRecord(Struct, array_like=True):
     """Tasks of one job that one part has to run."""
 
     tasks: list[TaskEntry]
 
 
-class PartRecord(Struct):
+class PartitionRecord(Struct):
     """Which controller holds a part. The epoch rises with every change; `boot` names the process that claimed it."""
 
     node: str
@@ -113,13 +113,20 @@
 
 
 Record = (
-    JobRecord | AdmissionRecord | AllotRecord | PartRecord | MemberRecord | LeaderRecord | MachineRecord | FinalRecord
+    JobRecord
+    | AdmissionRecord
+    | AllocationRecord
+    | PartitionRecord
+    | MemberRecord
+    | LeaderRecord
+    | MachineRecord
+    | FinalRecord
 )
 
 _DECODERS: list[tuple[str, Any]] = [
     (prefix, msgspec.json.Decoder(kind))
     for prefix, kind in (
-        (JOB, JobRecord), (ADMISSION, AdmissionRecord), (ALLOT, AllotRecord), (PART, PartRecord),
+        (JOB, JobRecord), (ADMISSION, AdmissionRecord), (ALLOT, AllocationRecord), (PART, PartitionRecord),
         (MEMBER, MemberRecord), (LEADER, LeaderRecord), (MACHINE, MachineRecord), (FINAL, FinalRecord),
     )
 ]  # fmt: skip
@@ -135,12 +142,12 @@
 
 
 ENTRY_BYTES_MOST = 80  # of one task entry as JSON, with room for long names of machines
-ALLOT_TASKS_MOST = 100  # longer values cost every reader more than the changes that they save
+ALLOCATION_TASKS_MOST = 100  # longer values cost every reader more than the changes that they save
 
 
 def tasks_per_record(value_bytes: int) -> int:
-    """How many task entries an allotment record may hold, so that its value stays within a limit on values."""
-    return max(1, min(ALLOT_TASKS_MOST, value_bytes // ENTRY_BYTES_MOST))
+    """How many task entries an allocation record may hold, so that its value stays within a limit on values."""
+    return max(1, min(ALLOCATION_TASKS_MOST, value_bytes // ENTRY_BYTES_MOST))
 
 
 TXN_BYTES = 56_000  # room for guards is left below the state service's 64 KiB
@@ -149,12 +156,12 @@
 
 def change_bytes(record: Record | None) -> int:
     """No less than a change takes on the wire, without encoding it."""
-    return _CHANGE_BYTES + (_ENTRY_BYTES * len(record.tasks) if isinstance(record, AllotRecord) else 0)
+    return _CHANGE_BYTES + (_ENTRY_BYTES * len(record.tasks) if isinstance(record, AllocationRecord) else 0)
 
 
 @dataclass(slots=True, frozen=True)
-class AllotKey:
-    """Where an allotment belongs."""
+class AllocationKey:
+    """Where an allocation belongs."""
 
     zone: str
     job: str
@@ -165,27 +172,29 @@
         return f"{ALLOT}{self.zone}/{self.job}/{self.chunk}"
 
     @staticmethod
-    def parse(key: str) -> AllotKey:
+    def parse(key: str) -> AllocationKey:
         """The inverse of str()."""
         zone, job, chunk = key[len(ALLOT) :].rsplit("/", 2)
-        return AllotKey(zone, job, int(chunk))
+        return AllocationKey(zone, job, int(chunk))
 
 
 SPLIT_FROM = 1_000_000  # chunks that come from splitting are counted from here, apart from those that admission numbers
 SPLIT_STRIDE = 1000
 
 
-def split(where: AllotKey, record: AllotRecord, most_tasks: int) -> list[tuple[AllotKey, AllotRecord]]:
+def split(
+    where: AllocationKey, record: AllocationRecord, most_tasks: int
+) -> list[tuple[AllocationKey, AllocationRecord]]:
     """The record, or what takes its place if it holds more tasks than may be written to one key.
 
     The first piece keeps the key. All pieces go into one transaction, so no reader of any version ever sees a task twice
     or not at all; records from before a limit was lowered are split that way when they are next written.
     """
     pieces = [record.tasks[at : at + most_tasks] for at in range(0, len(record.tasks), most_tasks)]
-    out = [(where, AllotRecord(pieces[0] if pieces else []))]
+    out = [(where, AllocationRecord(pieces[0] if pieces else []))]
     for number, tasks in enumerate(pieces[1:], start=1):
         chunk = SPLIT_FROM + (where.chunk % SPLIT_FROM) * SPLIT_STRIDE + number
-        out.append((AllotKey(where.zone, where.job, chunk), AllotRecord(tasks)))
+        out.append((AllocationKey(where.zone, where.job, chunk), AllocationRecord(tasks)))
     return out
 
 
--- a/spurarch/bookkeeping/replica.py
+++ b/spurarch/storage/replica.py
@@ -17,22 +17,22 @@
 import curio
 import msgspec
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.limits import Urgency
-from spurarch.bookkeeping.records import (
+from spurarch.protocol import wire
+from spurarch.storage import records
+from spurarch.storage.limits import Urgency
+from spurarch.storage.records import (
     AdmissionRecord,
-    AllotKey,
-    AllotRecord,
+    AllocationKey,
+    AllocationRecord,
     FinalRecord,
     JobRecord,
     LeaderRecord,
     MachineRecord,
     MemberRecord,
-    PartRecord,
+    PartitionRecord,
     Record,
 )
-from spurarch.bookkeeping.store import Outcome, RevisionTooOldError, Store, StoreUnavailableError, Verdict
-from spurarch.protocol import wire
+from spurarch.storage.store import Outcome, RevisionTooOldError, Store, StoreUnavailableError, Verdict
 
 log = logging.getLogger(__name__)
 
@@ -68,9 +68,9 @@
         self.entries: dict[str, Entry] = {}
         self.jobs: dict[str, JobRecord] = {}
         self.admitted: dict[str, AdmissionRecord] = {}
-        self.allots: dict[str, dict[AllotKey, AllotRecord]] = defaultdict(dict)  # by job
-        self.zone_allots: dict[str, dict[AllotKey, AllotRecord]] = defaultdict(dict)
-        self.parts: dict[str, PartRecord] = {}
+        self.allocations: dict[str, dict[AllocationKey, AllocationRecord]] = defaultdict(dict)  # by job
+        self.zone_allocations: dict[str, dict[AllocationKey, AllocationRecord]] = defaultdict(dict)
+        self.parts: dict[str, PartitionRecord] = {}
         self.members: dict[str, MemberRecord] = {}
         self.machines: dict[str, dict[str, MachineRecord]] = defaultdict(dict)  # by zone
         self.leader: LeaderRecord | None = None
@@ -147,11 +147,11 @@
             self.jobs[record.spec.id] = record
         elif isinstance(record, AdmissionRecord):
             self.admitted[key[len(records.ADMISSION) :]] = record
-        elif isinstance(record, AllotRecord):
-            where = AllotKey.parse(key)
-            self.allots[where.job][where] = record
-            self.zone_allots[where.zone][where] = record
-        elif isinstance(record, PartRecord):
+        elif isinstance(record, AllocationRecord):
+            where = AllocationKey.parse(key)
+            self.allocations[where.job][where] = record
+            self.zone_allocations[where.zone][where] = record
+        elif isinstance(record, PartitionRecord):
             self.parts[key[len(records.PART) :]] = record
         elif isinstance(record, MemberRecord):
             self.members[record.node] = record
@@ -167,14 +167,14 @@
             self.jobs.pop(record.spec.id, None)
         elif isinstance(record, AdmissionRecord):
             self.admitted.pop(key[len(records.ADMISSION) :], None)
-        elif isinstance(record, AllotRecord):
-            where = AllotKey.parse(key)
-            mine = self.allots[where.job]
+        elif isinstance(record, AllocationRecord):
+            where = AllocationKey.parse(key)
+            mine = self.allocations[where.job]
             mine.pop(where, None)
             if not mine:
-                del self.allots[where.job]
-            self.zone_allots[where.zone].pop(where, None)
-        elif isinstance(record, PartRecord):
+                del self.allocations[where.job]
+            self.zone_allocations[where.zone].pop(where, None)
+        elif isinstance(record, PartitionRecord):
             self.parts.pop(key[len(records.PART) :], None)
         elif isinstance(record, MemberRecord):
             self.members.pop(record.node, None)
--- a/spurarch/bookkeeping/store.py
+++ b/spurarch/storage/store.py
@@ -10,9 +10,9 @@
 import curio
 import msgspec
 
-from spurarch.bookkeeping.limits import AdaptiveFactor, TokenBucket, Urgency
 from spurarch.protocol import wire
 from spurarch.settings import StateLimits
+from spurarch.storage.limits import AdaptiveFactor, TokenBucket, Urgency
 from spurarch.transport.http import NoAnswerError
 from spurarch.transport.network import Requests
 
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -16,7 +16,6 @@
 
 import curio
 
-from spurarch.bookkeeping import records
 from spurarch.coordination.controller import Controller
 from spurarch.settings import (
     CloudLimits,
@@ -30,6 +29,7 @@
     Tuning,
     Workers,
 )
+from spurarch.storage import records
 from spurarch.transport.http import NoAnswerError, Request
 from tests.sim.clock import Clock
 from tests.sim.fleet import FakeCloud, Kind, World
@@ -272,7 +272,7 @@
         elif action == "late-reports":  # of that share a copy arrives again, up to well over a lease later
             self.world.late_reports_until = now + float(opts["for"])
             self.world.late_reports_share = float(opts["share"])
-        elif action == "mute":  # its reports reach nobody, direct commands reach it
+        elif action == "mute":  # its reports reachability nobody, direct commands reachability it
             self.wire.cuts.append(Cut(args[0], "*", now + float(opts["for"]), "mute"))
         elif action == "cancel-at-end":  # jobs that end are called off at that moment
             await curio.spawn(self._cancel_ends, now + float(opts["for"]), daemon=True)
@@ -336,7 +336,7 @@
             record = self.controllers[args[0]].replica.state.jobs.get(args[1])
             return record is not None and record.cancelled
         if kind == "heard":  # a controller was told by another that a job is cancelled
-            return args[1] in self.controllers[args[0]].reach.cancelled
+            return args[1] in self.controllers[args[0]].reachability.cancelled
         if kind == "runs-all":  # all tasks of a gang run
             job = self.world.jobs[args[0]]
             states = [task.state for _, task in self.world.on_machines() if task.name.startswith(args[0] + "/")]
--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -7,14 +7,14 @@
 
 import curio
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.records import AllotKey, AllotRecord, JobRecord, TaskEntry
 from spurarch.coordination.admission import Grant
 from spurarch.coordination.leader import Leader
+from spurarch.storage import records
+from spurarch.storage.records import AllocationKey, AllocationRecord, JobRecord, TaskEntry
 from tests.sim.clock import Clock
 from tests.test_scale import Fleet, submission
 
-SOURCE = AllotKey("a", "job-1", 0)
+SOURCE = AllocationKey("a", "job-1", 0)
 
 
 def leader_of(fleet: Fleet) -> Any:
@@ -37,7 +37,7 @@
     fleet = Fleet(0)
     fleet.put(f"{records.JOB}job-1", JobRecord(submission("job-1", 3), 0.0))
     returned = [TaskEntry(n, records.RETURNED, 1) for n in range(2)]
-    fleet.put(str(SOURCE), AllotRecord([*returned, TaskEntry(2, records.ASSIGNED, 1, "vm-1", 1)]))
+    fleet.put(str(SOURCE), AllocationRecord([*returned, TaskEntry(2, records.ASSIGNED, 1, "vm-1", 1)]))
     fleet.view.update()
     leader = leader_of(fleet)
     grant = Grant("job-1", fleet.view.zones.index("b"), [TaskEntry(0, records.FREE, 1)], {SOURCE: {0}})
--- a/tests/test_bursts.py
+++ b/tests/test_bursts.py
@@ -4,15 +4,15 @@
 
 import curio
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.limits import Urgency
-from spurarch.bookkeeping.records import AllotKey, AllotRecord, JobRecord, MachineRecord, TaskEntry
-from spurarch.bookkeeping.store import Store
 from spurarch.coordination.admission import Admission
 from spurarch.coordination.placing import Placer
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import StateLimits, Team
+from spurarch.storage import records
+from spurarch.storage.limits import Urgency
+from spurarch.storage.records import AllocationKey, AllocationRecord, JobRecord, MachineRecord, TaskEntry
+from spurarch.storage.store import Store
 from tests.sim.clock import Clock
 from tests.test_scale import Answering, Fleet, submission
 
@@ -20,7 +20,7 @@
 def waiting_in(fleet: Fleet, zone: str, ref: str, tasks: int) -> None:
     """A job whose tasks were admitted to a zone and found no room there yet."""
     fleet.put(f"{records.JOB}{ref}", JobRecord(submission(ref, tasks), 0.0))
-    fleet.put(str(AllotKey(zone, ref, 0)), AllotRecord([TaskEntry(n) for n in range(tasks)]))
+    fleet.put(str(AllocationKey(zone, ref, 0)), AllocationRecord([TaskEntry(n) for n in range(tasks)]))
 
 
 def given_back(queue_of_b: int, scarce: bool = False, grew_at: float = -100.0) -> int:
@@ -91,7 +91,7 @@
         fleet.put(records.machine_key(zone, f"vm-{zone}"), MachineRecord("big", False, "10.1.0.1:9000"))
         fleet.put(f"{records.JOB}job-{zone}", JobRecord(submission(f"job-{zone}", taken), 0.0))
         entries = [TaskEntry(n, records.ASSIGNED, 1, f"vm-{zone}", 1) for n in range(taken)]
-        fleet.put(str(AllotKey(zone, f"job-{zone}", 0)), AllotRecord(entries))
+        fleet.put(str(AllocationKey(zone, f"job-{zone}", 0)), AllocationRecord(entries))
     fleet.put(f"{records.JOB}job-1", JobRecord(submission("job-1", tasks), 1.0))
     fleet.view.update()
     plan = Admission(fleet.view, 2.0, piece=piece).run(None, lambda: False, 24)
@@ -116,7 +116,7 @@
         spec = submission(ref, 1)
         spec.image = image
         fleet.put(f"{records.JOB}{ref}", JobRecord(spec, at))
-        fleet.put(str(AllotKey("a", ref, 0)), AllotRecord([TaskEntry(0)]))
+        fleet.put(str(AllocationKey("a", ref, 0)), AllocationRecord([TaskEntry(0)]))
     fleet.news(list(fleet.state.entries))
     fleet.view.rooms[fleet.view.machines.index("vm-1")].images.add(fleet.view.images.index("common"))
     return fleet
@@ -145,8 +145,8 @@
     spec = submission("job-3", 1)
     spec.kind = wire.SERVICE
     fleet.put(f"{records.JOB}job-3", JobRecord(spec, 2.0))
-    fleet.put(str(AllotKey("a", "job-3", 0)), AllotRecord([TaskEntry(0)]))
-    fleet.news([f"{records.JOB}job-3", str(AllotKey("a", "job-3", 0))])
+    fleet.put(str(AllocationKey("a", "job-3", 0)), AllocationRecord([TaskEntry(0)]))
+    fleet.news([f"{records.JOB}job-3", str(AllocationKey("a", "job-3", 0))])
     placer.pending = first.entries
     assert not placer.run(fleet.part, fleet.view, 2.0 + 11.0, lambda: False, 100).entries
     placer.pending = {}
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,13 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from spurarch.bookkeeping.limits import TokenBucket, Urgency
-from spurarch.bookkeeping.records import MemberRecord, PartRecord
-from spurarch.coordination.fit import Need, Room, best_fit
-from spurarch.coordination.membership import assign_parts
-from spurarch.coordination.reach import Reach
+from spurarch.coordination.best_fit import Need, Room, best_fit
+from spurarch.coordination.membership import assign_partitions
+from spurarch.coordination.store_reachability import StoreReachability
 from spurarch.coordination.tabu import Replica, Search, Weights
-from spurarch.protocol import hints
+from spurarch.protocol import peer_messages
+from spurarch.storage.limits import TokenBucket, Urgency
+from spurarch.storage.records import MemberRecord, PartitionRecord
 
 WEIGHTS = Weights(0.234, 0.512, 0.254)
 
@@ -106,97 +106,102 @@
 
 def test_parts_go_home_and_orphans_to_the_least_loaded() -> None:
     all_three = members(("n0", "a"), ("n1", "b"), ("n2", "c"))
-    assert assign_parts(["a", "b", "c", "d"], {}, all_three, set()) == {"a": "n0", "b": "n1", "c": "n2", "d": "n0"}
-    parts = {z: PartRecord(n, 1) for z, n in (("a", "n0"), ("b", "n1"), ("c", "n2"), ("d", "n0"))}
-    assert assign_parts(["a", "b", "c", "d"], parts, all_three, set(all_three)) == {}
+    assert assign_partitions(["a", "b", "c", "d"], {}, all_three, set()) == {"a": "n0", "b": "n1", "c": "n2", "d": "n0"}
+    parts = {z: PartitionRecord(n, 1) for z, n in (("a", "n0"), ("b", "n1"), ("c", "n2"), ("d", "n0"))}
+    assert assign_partitions(["a", "b", "c", "d"], parts, all_three, set(all_three)) == {}
     two = members(("n1", "b"), ("n2", "c"))
-    assert sorted(assign_parts(["a", "b", "c", "d"], parts, two, set()).values()) == ["n1", "n2"]
+    assert sorted(assign_partitions(["a", "b", "c", "d"], parts, two, set()).values()) == ["n1", "n2"]
 
 
 def test_a_part_goes_home_only_when_the_home_has_settled() -> None:
-    parts = {"a": PartRecord("n1", 4)}
+    parts = {"a": PartitionRecord("n1", 4)}
     both = members(("n0", "a"), ("n1", "b"))
-    assert assign_parts(["a"], parts, both, set()) == {}
-    assert assign_parts(["a"], parts, both, {"n0"}) == {"a": "n0"}
+    assert assign_partitions(["a"], parts, both, set()) == {}
+    assert assign_partitions(["a"], parts, both, {"n0"}) == {"a": "n0"}
 
 
 def test_a_holder_that_does_not_hear_a_zone_gives_it_up() -> None:
-    parts = {"a": PartRecord("n0", 4)}
+    parts = {"a": PartitionRecord("n0", 4)}
     both = members(("n0", "a"), ("n1", "b"))
     both["n0"].unfit = ["a"]
-    assert assign_parts(["a"], parts, both, {"n0", "n1"}) == {"a": "n1"}
-    assert assign_parts(["a"], {"a": PartRecord("n1", 5)}, both, {"n0", "n1"}) == {}
+    assert assign_partitions(["a"], parts, both, {"n0", "n1"}) == {"a": "n1"}
+    assert assign_partitions(["a"], {"a": PartitionRecord("n1", 5)}, both, {"n0", "n1"}) == {}
     both["n1"].unfit = ["a"]
-    assert assign_parts(["a"], {"a": PartRecord("n0", 4)}, both, {"n0", "n1"}) == {}
+    assert assign_partitions(["a"], {"a": PartitionRecord("n0", 4)}, both, {"n0", "n1"}) == {}
 
 
-def _reach() -> Reach:
-    return Reach(["p", "q"], cancel_s=30.0, lease_s=10.0)
+def _reach() -> StoreReachability:
+    return StoreReachability(["p", "q"], cancel_s=30.0, lease_s=10.0)
 
 
-def _pong(node: str, reaches: bool = False, age_s: float = 60.0, up_s: float = 500.0) -> hints.Pong:
-    return hints.Pong(node, "x", reaches, [f"job-{node}"], [("a", node, 9)], age_s, up_s)
+def _pong(node: str, reaches: bool = False, age_s: float = 60.0, up_s: float = 500.0) -> peer_messages.Pong:
+    return peer_messages.Pong(node, "x", reaches, [f"job-{node}"], [("a", node, 9)], age_s, up_s)
 
 
 def test_word_lasts_until_a_cancellation_could_be_missed() -> None:
-    reach = _reach()
-    assert reach.entitled(100.0, 110.0)
-    assert not reach.entitled(100.0, 120.0)
-    reach.pong("p", 119.0, 119.1, _pong("p"), 100.0)
-    assert not reach.entitled(100.0, 120.0)  # q may have confirmed a cancellation
-    reach.pong("q", 118.0, 118.1, _pong("q"), 100.0)
-    assert reach.word(100.0) == 118.0
-    assert reach.cancelled == {"job-p": 119.1, "job-q": 118.1}  # passed on by who does not reach the service, too
-    assert reach.parts == {"a": ("p", 9)}
-    reach.settle(118.5)  # a read of our own holds what was told before it, and no more
-    assert reach.cancelled == {"job-p": 119.1}
+    reachability = _reach()
+    assert reachability.entitled(100.0, 110.0)
+    assert not reachability.entitled(100.0, 120.0)
+    reachability.pong("p", 119.0, 119.1, _pong("p"), 100.0)
+    assert not reachability.entitled(100.0, 120.0)  # q may have confirmed a cancellation
+    reachability.pong("q", 118.0, 118.1, _pong("q"), 100.0)
+    assert reachability.word(100.0) == 118.0
+    assert reachability.cancelled == {
+        "job-p": 119.1,
+        "job-q": 118.1,
+    }  # passed on by who does not reachability the service, too
+    assert reachability.parts == {"a": ("p", 9)}
+    reachability.settle(118.5)  # a read of our own holds what was told before it, and no more
+    assert reachability.cancelled == {"job-p": 119.1}
 
 
 def test_a_peer_that_reaches_the_service_is_word_enough() -> None:
-    reach = _reach()
-    reach.pong("q", 119.0, 119.1, _pong("q", reaches=True, age_s=0.1), 100.0)
-    assert reach.word(100.0) == 119.0
+    reachability = _reach()
+    reachability.pong("q", 119.0, 119.1, _pong("q", reaches=True, age_s=0.1), 100.0)
+    assert reachability.word(100.0) == 119.0
 
 
 def test_a_copy_is_a_word_of_its_age() -> None:
-    reach = _reach()
-    reach.pong("q", 119.0, 119.1, _pong("q", age_s=5.0), 100.0)
-    assert 113.9 < reach.word(100.0) <= 114.0
-    assert reach.word(116.0) == 116.0
+    reachability = _reach()
+    reachability.pong("q", 119.0, 119.1, _pong("q", age_s=5.0), 100.0)
+    assert 113.9 < reachability.word(100.0) <= 114.0
+    assert reachability.word(116.0) == 116.0
 
 
 def test_who_started_after_the_word_and_never_read_the_service_is_no_voucher() -> None:
     for up_s, word in ((18.0, 100.0), (19.0, 100.0), (20.0, 119.0)):  # its start lies after, at, or before the word
-        reach = _reach()
-        reach.pong("p", 119.0, 119.05, _pong("p"), 100.0)
-        reach.pong("q", 119.0, 119.05, _pong("q", age_s=-1.0, up_s=up_s), 100.0)
-        assert reach.word(100.0) == word
+        reachability = _reach()
+        reachability.pong("p", 119.0, 119.05, _pong("p"), 100.0)
+        reachability.pong("q", 119.0, 119.05, _pong("q", age_s=-1.0, up_s=up_s), 100.0)
+        assert reachability.word(100.0) == word
 
 
 def test_an_outage_is_told_from_being_alone() -> None:
-    reach = _reach()
-    assert not reach.outage(100.0)
-    reach.pong("p", 100.0, 100.1, _pong("p"), 60.0)
-    assert reach.outage(101.0)
-    assert reach.answers("p", 101.0, "x")
-    assert not reach.answers("p", 101.0, "y")  # another process by now
-    assert not reach.answers("q", 101.0)
-    reach.pong("q", 101.0, 101.1, _pong("q", reaches=True), 60.0)
-    assert not reach.outage(102.0)
-    assert not reach.outage(120.0)  # nobody has been heard for long
+    reachability = _reach()
+    assert not reachability.outage(100.0)
+    reachability.pong("p", 100.0, 100.1, _pong("p"), 60.0)
+    assert reachability.outage(101.0)
+    assert reachability.answers("p", 101.0, "x")
+    assert not reachability.answers("p", 101.0, "y")  # another process by now
+    assert not reachability.answers("q", 101.0)
+    reachability.pong("q", 101.0, 101.1, _pong("q", reaches=True), 60.0)
+    assert not reachability.outage(102.0)
+    assert not reachability.outage(120.0)  # nobody has been heard for long
 
 
 def test_silence_of_an_older_version_is_no_word() -> None:
-    reach = _reach()
+    reachability = _reach()
     for peer in ("p", "q"):
-        old = hints.decode(msgspec.msgpack.encode(["pong", peer, "x", False, [], []]))
-        assert isinstance(old, hints.Pong)
-        reach.pong(peer, 119.0, 119.1, old, 100.0)
-    assert reach.word(100.0) == 100.0
-    new = hints.decode(msgspec.msgpack.encode(["pong", "p", "x", True, ["job-1"], [], 0.0, 1.0, "more to come"]))
-    assert isinstance(new, hints.Pong)
-    reach.pong("p", 130.0, 130.1, new, 100.0)
-    assert reach.word(100.0) == 130.0
+        old = peer_messages.decode(msgspec.msgpack.encode(["pong", peer, "x", False, [], []]))
+        assert isinstance(old, peer_messages.Pong)
+        reachability.pong(peer, 119.0, 119.1, old, 100.0)
+    assert reachability.word(100.0) == 100.0
+    new = peer_messages.decode(
+        msgspec.msgpack.encode(["pong", "p", "x", True, ["job-1"], [], 0.0, 1.0, "more to come"])
+    )
+    assert isinstance(new, peer_messages.Pong)
+    reachability.pong("p", 130.0, 130.1, new, 100.0)
+    assert reachability.word(100.0) == 130.0
 
 
 @given(st.floats(0.5, 200), st.integers(1, 24), st.sampled_from(list(Urgency)))
--- a/tests/test_meetings.py
+++ b/tests/test_fault_combinations.py
@@ -1,6 +1,6 @@
 """Two or three troubles at random moments, over real controllers: no rule may break, and afterwards all work goes on.
 
-The same days are played each time. `SPURARCH_MEETINGS=500 python -m pytest tests/test_meetings.py` plays as many new
+The same days are played each time. `SPURARCH_MEETINGS=500 python -m pytest tests/test_fault_combinations.py` plays as many new
 ones (docs/operations.md); what it finds becomes a scenario.
 """
 
@@ -72,14 +72,14 @@
     scenario = Scenario.parse(BASE + text, {})
     ends = [at + float(dict(w.split("=") for w in words if "=" in w).get("for", 0)) for at, words in scenario.actions]
     scenario.end = max(ends) + QUIET_S
-    called_off = {words[1] for _, words in scenario.actions if words[0] == "cancel"}
+    revoking = {words[1] for _, words in scenario.actions if words[0] == "cancel"}
     may_be = {"done", "aborted"} if "cancel-at-end" in text else {"done"}
     played = Play(scenario)
     played.run()
     problems = list(played.problems)
     for _, words in scenario.actions:
         told: list[Any] = played.told.get(words[1], ["nothing"]) if words[0] == "submit" else []
-        if words[0] == "submit" and words[1] not in {*called_off, "job-1", "job-4"} and told[-1] not in may_be:
+        if words[0] == "submit" and words[1] not in {*revoking, "job-1", "job-4"} and told[-1] not in may_be:
             problems.append(f"{words[1]} is left: {told[-1]}")
     replicas = [task for _, task in played.world.on_machines() if task.name.startswith("job-1/")]
     if len(replicas) != 5:
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -8,17 +8,24 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.records import AllotKey, AllotRecord, JobRecord, MemberRecord, PartRecord, TaskEntry
-from spurarch.bookkeeping.replica import State, Write
-from spurarch.coordination.fit import Need, Room, gathering_rooms
+from spurarch.coordination.best_fit import Need, Room, gathering_rooms
 from spurarch.coordination.gang import GangAttempt, Gangs, GangState
-from spurarch.coordination.machine import Phase, TaskRun
-from spurarch.coordination.membership import assign_parts, gangs_supported
-from spurarch.coordination.part import Part, merged
+from spurarch.coordination.machine import Phase, TaskAttempt
+from spurarch.coordination.membership import assign_partitions, gangs_supported
+from spurarch.coordination.partition import Partition, merged
 from spurarch.protocol import wire
+from spurarch.storage import records
+from spurarch.storage.records import (
+    AllocationKey,
+    AllocationRecord,
+    JobRecord,
+    MemberRecord,
+    PartitionRecord,
+    TaskEntry,
+)
+from spurarch.storage.replica import State, Write
 
-WHERE = AllotKey("a", "job-1", 0)
+WHERE = AllocationKey("a", "job-1", 0)
 
 
 def submission(tasks: int) -> wire.Submission:
@@ -29,8 +36,8 @@
     )  # fmt: skip
 
 
-def member(index: int, attempt: int = 1) -> TaskRun:
-    return TaskRun(WHERE, index, attempt, f"vm-{index}", 1, 0.0)
+def member(index: int, attempt: int = 1) -> TaskAttempt:
+    return TaskAttempt(WHERE, index, attempt, f"vm-{index}", 1, 0.0)
 
 
 def gang_of(*entries: TaskEntry) -> GangAttempt:
@@ -124,11 +131,11 @@
     assert gangs.settle() == []
 
 
-def part_with(job: JobRecord, entries: list[TaskEntry]) -> tuple[Part, State]:
+def part_with(job: JobRecord, entries: list[TaskEntry]) -> tuple[Partition, State]:
     state = State()
     state.put(records.JOB + "job-1", 1, job)
-    state.put(str(WHERE), 2, AllotRecord(entries))
-    part = Part("a", 1, 10.0, 0.0, lambda ref: None)
+    state.put(str(WHERE), 2, AllocationRecord(entries))
+    part = Partition("a", 1, 10.0, 0.0, lambda ref: None)
     part.take_records(state, list(state.entries), 0.0)
     part.ready = True
     return part, state
@@ -139,7 +146,7 @@
     machine = part.machines["vm-0"]
     machine.session = 1
     assert part.commands(machine, None) == []
-    state.put(str(WHERE), 3, AllotRecord([assigned(0), assigned(1)]))
+    state.put(str(WHERE), 3, AllocationRecord([assigned(0), assigned(1)]))
     part.take_records(state, [str(WHERE)], 1.0)
     assert [(c.op, c.task, c.attempt) for c in part.commands(machine, None)] == [(wire.START, "job-1/0", 1)]
 
@@ -150,7 +157,7 @@
     job.spec.kind = wire.BATCH
     part, state = part_with(job, [assigned(i) for i in range(4)])
     part.step(part.runs["job-1", 3], Phase.EXITED, wire.WHY_DONE)
-    pieces = records.split(WHERE, AllotRecord([assigned(i) for i in range(4)]), 2)
+    pieces = records.split(WHERE, AllocationRecord([assigned(i) for i in range(4)]), 2)
     state.committed([Write(str(where), piece) for where, piece in pieces], 9)
     part.take_records(state, [str(where) for where, _ in pieces], 1.0)
     run = part.runs["job-1", 3]
@@ -160,12 +167,12 @@
 
 
 def test_gang_members_are_given_machines_together_or_not_at_all() -> None:
-    record = AllotRecord([free(0, 2), free(1, 4)])
+    record = AllocationRecord([free(0, 2), free(1, 4)])
     changes = {0: assigned(0, 5), 1: assigned(1, 5)}
     new = merged(record, changes, gang=True)
     assert new is not None
     assert [entry.attempt for entry in new.tasks] == [5, 5]
-    assert merged(AllotRecord([free(0, 2), TaskEntry(1, records.RETURNED, 4)]), changes, gang=True) is None
+    assert merged(AllocationRecord([free(0, 2), TaskEntry(1, records.RETURNED, 4)]), changes, gang=True) is None
 
 
 def test_an_unknown_task_state_teaches_nothing_and_is_logged_once(caplog: pytest.LogCaptureFixture) -> None:
@@ -183,20 +190,20 @@
 @given(st.integers(0, 300), st.integers(1, 60))
 def test_split_records_hold_every_task_once_and_no_more_than_allowed(tasks: int, most: int) -> None:
     entries = [TaskEntry(i) for i in range(tasks)]
-    pieces = records.split(WHERE, AllotRecord(entries), most)
+    pieces = records.split(WHERE, AllocationRecord(entries), most)
     assert [entry for _, piece in pieces for entry in piece.tasks] == entries
     assert all(len(piece.tasks) <= most for _, piece in pieces)
     assert pieces[0][0] == WHERE
     assert len({str(where) for where, _ in pieces}) == len(pieces)
-    assert all(AllotKey.parse(str(where)) == where for where, _ in pieces)
+    assert all(AllocationKey.parse(str(where)) == where for where, _ in pieces)
 
 
 def test_while_there_are_gangs_an_earlier_version_owns_nothing() -> None:
     new = MemberRecord("n0", "x", "a", version=records.GANG_VERSION)
     old = MemberRecord("n1", "y", "b")
-    members, parts = {"n0": new, "n1": old}, {"a": PartRecord("n0", 1), "b": PartRecord("n1", 1)}
-    assert assign_parts(["a", "b"], parts, members, set()) == {}
-    assert assign_parts(["a", "b"], parts, members, set(), gangs=True) == {"b": "n0"}
+    members, parts = {"n0": new, "n1": old}, {"a": PartitionRecord("n0", 1), "b": PartitionRecord("n1", 1)}
+    assert assign_partitions(["a", "b"], parts, members, set()) == {}
+    assert assign_partitions(["a", "b"], parts, members, set(), gangs=True) == {"b": "n0"}
     assert not gangs_supported(members)
     assert gangs_supported({"n0": new})
     assert not gangs_supported({})
--- a/tests/test_returns.py
+++ b/tests/test_releasing.py
@@ -9,23 +9,23 @@
 import curio
 import pytest
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.records import MachineRecord
 from spurarch.coordination.machine import Standing
-from spurarch.coordination.returning import overdue_machines
-from spurarch.coordination.returns import Returns
+from spurarch.coordination.release_candidates import overdue_machines
+from spurarch.coordination.releasing import MachineReleaser
 from spurarch.protocol import wire
 from spurarch.settings import Workers
+from spurarch.storage import records
+from spurarch.storage.records import MachineRecord
 from tests.test_scale import Fleet
 
 WORKERS = Workers(1.0, 10.0, 30.0)
 
 
-def _returns(**parts: Any) -> Returns:
+def _returns(**parts: Any) -> MachineReleaser:
     unused: Any = None
-    given = {"can": SimpleNamespace(reach=None), "held": {}, "replica": None, "cloud": None, **parts}
+    given = {"can": SimpleNamespace(reachability=None), "held": {}, "replica": None, "cloud": None, **parts}
     fixed = (given["replica"], unused, unused, given["cloud"], given["can"])
-    return Returns(*fixed, unused, unused, unused, given["held"])
+    return MachineReleaser(*fixed, unused, unused, unused, given["held"])
 
 
 def test_a_machine_left_out_of_a_return_is_of_use_again() -> None:
@@ -54,7 +54,7 @@
     async def ring() -> None:
         pass
 
-    can: Any = SimpleNamespace(owns=lambda part: True, reach=None)
+    can: Any = SimpleNamespace(owns=lambda part: True, reachability=None)
     replica, cloud = SimpleNamespace(sync=sync), SimpleNamespace(release=release)
     returns = _returns(can=can, replica=replica, cloud=cloud)
     returns._close = close  # type: ignore[method-assign, assignment]
@@ -66,7 +66,7 @@
     assert machines[1].return_after > time.monotonic()
 
 
-def _called_off(fleet: Fleet, now: float) -> None:
+def _stop_cancelled(fleet: Fleet, now: float) -> None:
     fleet.part.cancelled_ago = lambda job: now - 20.0 if job in ("job-0", "job-1") else None
     for job in ("job-0", "job-1", "job-2"):  # the last is stopped for another reason
         fleet.part.stop_job(job, now)
@@ -76,7 +76,7 @@
 def test_machines_whose_cancelled_tasks_do_not_leave_are_overdue(cut: bool, first: float) -> None:
     """Long before the 30 s are over, counted from the cancellation and not from when we heard of it."""
     fleet = Fleet(4)
-    _called_off(fleet, 25.0)  # cancelled at 20
+    _stop_cancelled(fleet, 25.0)  # cancelled at 20
     assert not overdue_machines(fleet.part, WORKERS, first - 0.1, cut)
     assert [m.name for m in overdue_machines(fleet.part, WORKERS, first + 0.1, cut)] == ["vm-0", "vm-1"]
     assert not overdue_machines(fleet.part, WORKERS, first + 0.1, cut, woke_at=first - 3.0)  # its own silence
@@ -85,7 +85,7 @@
 def test_a_machine_that_fell_silent_with_a_cancelled_task_stays_overdue() -> None:
     """Its lease has run out, which frees its tasks; but a machine that hangs has not ended them."""
     fleet = Fleet(3)
-    _called_off(fleet, 25.0)
+    _stop_cancelled(fleet, 25.0)
     fleet.report(2, 9, fleet.part.token(fleet.part.machines["vm-2"]))
     fleet.part.tick(26.0)
     assert fleet.part.machines["vm-0"].standing is Standing.LOST
--- a/tests/test_door.py
+++ b/tests/test_requests_and_settings.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from spurarch import cli
-from spurarch.protocol import hints, wire
+from spurarch.protocol import peer_messages, wire
 from spurarch.settings import SettingsError, load_platform, load_tuning
 from spurarch.transport.http import HttpClient, HttpServer, Request, Response
 
@@ -58,7 +58,7 @@
     for decoder in (wire.submission_decoder, wire.report_decoder, wire.changes_decoder, wire.list_decoder):
         with pytest.raises((msgspec.DecodeError, UnicodeDecodeError)):
             decoder.decode(body)
-    assert hints.decode(body) is None or isinstance(hints.decode(body), hints.Hint)
+    assert peer_messages.decode(body) is None or isinstance(peer_messages.decode(body), peer_messages.PeerMessage)
 
 
 @pytest.mark.parametrize(
@@ -93,7 +93,7 @@
     assert curio.run(main).split(b" ")[1] == status
 
 
-LAYERS = ["transport", "protocol", "bookkeeping", "coordination"]
+LAYERS = ["transport", "protocol", "storage", "coordination"]
 
 
 def test_layers_call_only_downwards() -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -10,19 +10,19 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.limits import lend
-from spurarch.bookkeeping.records import AllotKey, AllotRecord, JobRecord, MachineRecord, TaskEntry
-from spurarch.bookkeeping.replica import State
-from spurarch.bookkeeping.store import Store
 from spurarch.coordination.admission import Admission
-from spurarch.coordination.fit import Draft, Need, Room, best_fit, fill
+from spurarch.coordination.best_fit import Draft, Need, Room, best_fit, fill
 from spurarch.coordination.membership import rate_shares
-from spurarch.coordination.part import Part, merged
+from spurarch.coordination.partition import Partition, merged
 from spurarch.coordination.tabu import Replica, Search, Weights
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
 from spurarch.settings import StateLimits, Team
+from spurarch.storage import records
+from spurarch.storage.limits import lend
+from spurarch.storage.records import AllocationKey, AllocationRecord, JobRecord, MachineRecord, TaskEntry
+from spurarch.storage.replica import State
+from spurarch.storage.store import Store
 from tests.sim.clock import Clock
 
 
@@ -55,11 +55,11 @@
         self.state = State()
         self.view = FleetView(self.state, [Team("t")])
         self.view.set_offers([wire.MachineType("big", 32.0, 0.0, 128.0, 1.0, 0.5, 30.0, ["a"])])
-        self.part = Part("a", 1, 10.0, 0.0, lambda job: 0)
+        self.part = Partition("a", 1, 10.0, 0.0, lambda job: 0)
         for i in range(machines):
             self.put(records.machine_key("a", f"vm-{i}"), MachineRecord("big", False, "10.1.0.1:9000"))
             self.put(f"{records.JOB}job-{i}", JobRecord(submission(f"job-{i}", 4), 0.0))
-            self.put(str(AllotKey("a", f"job-{i}", 0)), self.allot(i, records.ASSIGNED))
+            self.put(str(AllocationKey("a", f"job-{i}", 0)), self.allot(i, records.ASSIGNED))
         self.part.ready = True
         self.news(list(self.state.entries))
         for i in range(machines):
@@ -67,10 +67,10 @@
             self.report(i, 2, self.part.token(self.part.machines[f"vm-{i}"]))
 
     @staticmethod
-    def allot(i: int, last: int) -> AllotRecord:
+    def allot(i: int, last: int) -> AllocationRecord:
         """Four tasks of a job on one machine; the last one in the given state."""
         states = [records.ASSIGNED] * 3 + [last]
-        return AllotRecord([TaskEntry(n, state, 1, f"vm-{i}", 1) for n, state in enumerate(states)])
+        return AllocationRecord([TaskEntry(n, state, 1, f"vm-{i}", 1) for n, state in enumerate(states)])
 
     def put(self, key: str, record: Any) -> None:
         """Changes a record."""
@@ -94,13 +94,13 @@
 
 
 def test_a_report_and_a_change_cost_the_same_in_a_large_fleet() -> None:
-    """The former code walked all runs, allotments and machines on every change and round."""
+    """The former code walked all runs, allocations and machines on every change and round."""
     costs = []
     for machines in (20, 400):
         fleet = Fleet(machines)
         token = fleet.part.token(fleet.part.machines["vm-3"])
         report = calls(lambda f=fleet, t=token: f.report(3, 3, t))  # type: ignore[misc]
-        key = str(AllotKey("a", "job-3", 0))
+        key = str(AllocationKey("a", "job-3", 0))
         fleet.put(key, Fleet.allot(3, records.ENDED))
         change = calls(lambda f=fleet, k=key: f.news([k]))  # type: ignore[misc]
         ends = calls(lambda f=fleet: f.part.ends(f.state, 0.0))  # type: ignore[misc]
@@ -175,7 +175,7 @@
 
 def test_an_entry_changes_only_from_what_the_change_was_decided_for() -> None:
     """Between a decision and its transaction, the leader may have moved a task, or a holder recorded its end."""
-    record = AllotRecord([TaskEntry(0, records.FREE, 1), TaskEntry(1, records.ASSIGNED, 2, "vm-1", 1)])
+    record = AllocationRecord([TaskEntry(0, records.FREE, 1), TaskEntry(1, records.ASSIGNED, 2, "vm-1", 1)])
     start = TaskEntry(0, records.ASSIGNED, 2, "vm-1", 1)
     end = TaskEntry(1, records.ENDED, 2)
     new = merged(record, {0: start, 1: end, 7: start})
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -5,10 +5,10 @@
 import pytest
 
 from spurarch.coordination.controller import SOCKETS_RESERVED
-from spurarch.coordination.holder import direct_connections
 from spurarch.coordination.machine import Standing
-from spurarch.coordination.pulse import GAP_S, Pulse
-from spurarch.coordination.returning import cut_off, silent_machines
+from spurarch.coordination.partition_owner import direct_connections
+from spurarch.coordination.release_candidates import cut_off, silent_machines
+from spurarch.coordination.stall_detector import GAP_S, StallDetector
 from spurarch.settings import Tuning, Workers
 from tests.test_scale import Fleet
 
@@ -16,13 +16,13 @@
 
 
 def test_after_a_gap_nothing_counts_before_a_word_that_was_asked_for_after_it() -> None:
-    pulse = Pulse()
-    assert pulse.steady(100.0, 99.5)
-    assert pulse.steady(100.0 + GAP_S, 99.5)
+    stall_detector = StallDetector()
+    assert stall_detector.steady(100.0, 99.5)
+    assert stall_detector.steady(100.0 + GAP_S, 99.5)
     woke = 100.0 + 2 * GAP_S + 20.0
-    assert not pulse.steady(woke, 101.0)  # whoever asks first after the gap finds it
-    assert not pulse.steady(woke + 0.1, woke - 0.1)
-    assert pulse.steady(woke + 0.2, woke + 0.1)
+    assert not stall_detector.steady(woke, 101.0)  # whoever asks first after the gap finds it
+    assert not stall_detector.steady(woke + 0.1, woke - 0.1)
+    assert stall_detector.steady(woke + 0.2, woke + 0.1)
 
 
 def test_silence_counts_from_waking() -> None:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -5,21 +5,21 @@
 import curio
 import msgspec
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.records import AllotKey, AllotRecord, JobRecord, TaskEntry
-from spurarch.bookkeeping.replica import Replica, State, Write
-from spurarch.bookkeeping.store import Store
 from spurarch.protocol import wire
 from spurarch.settings import StateLimits
+from spurarch.storage import records
+from spurarch.storage.records import AllocationKey, AllocationRecord, JobRecord, TaskEntry
+from spurarch.storage.replica import Replica, State, Write
+from spurarch.storage.store import Store
 from tests.sim.clock import Clock
 from tests.test_scale import Answering, submission
 
-WHERE = AllotKey("a", "job-1", 0)
+WHERE = AllocationKey("a", "job-1", 0)
 KEY = str(WHERE)
 
 
-def record(attempt: int) -> AllotRecord:
-    return AllotRecord([TaskEntry(0, attempt=attempt)])
+def record(attempt: int) -> AllocationRecord:
+    return AllocationRecord([TaskEntry(0, attempt=attempt)])
 
 
 def test_own_commit_known_before_the_watch_brings_it() -> None:
@@ -28,7 +28,7 @@
     assert state.version(KEY) == 5
     state.put(KEY, 5, record(1))
     state.advance(5)
-    assert state.allots["job-1"][WHERE].tasks[0].attempt == 1
+    assert state.allocations["job-1"][WHERE].tasks[0].attempt == 1
 
 
 def test_answer_after_the_watch_does_not_revive_a_deleted_key() -> None:
@@ -39,7 +39,7 @@
     state.advance(6)
     state.committed([Write(KEY, record(1))], 5)
     assert state.version(KEY) == 0
-    assert "job-1" not in state.allots
+    assert "job-1" not in state.allocations
 
 
 def test_old_news_do_not_revive_what_we_deleted() -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -5,11 +5,11 @@
 import msgspec
 import pytest
 
-from spurarch.bookkeeping import records
-from spurarch.bookkeeping.limits import AdaptiveFactor
-from spurarch.bookkeeping.records import AllotRecord, MemberRecord, TaskEntry
-from spurarch.protocol import hints
+from spurarch.protocol import peer_messages
 from spurarch.settings import NextStateLimits, StateLimits
+from spurarch.storage import records
+from spurarch.storage.limits import AdaptiveFactor
+from spurarch.storage.records import AllocationRecord, MemberRecord, TaskEntry
 
 # As the version before gangs writes them.
 FROZEN_RECORDS = {
@@ -25,12 +25,12 @@
     "final/job-1": b'{"state":"done","tasks":2}',
 }
 FROZEN_MEMBER = b'{"node":"n0","boot":"x","area":"a","unfit":["b"],"dark":[]}'
-FROZEN_HINTS = [
-    hints.encode(("wake",)),
-    hints.encode(("ping", "n0")),
-    hints.encode(("pong", "n0", "x", True, ["job-1"], [("a", "n0", 3)], 0.5, 9.0)),
-    hints.encode(("cancelled", ["job-1"])),
-    hints.encode(("load", "n0", 3.0, True, [("a", 2)], ["vm-000001"])),
+FROZEN_MESSAGES = [
+    peer_messages.encode(("wake",)),
+    peer_messages.encode(("ping", "n0")),
+    peer_messages.encode(("pong", "n0", "x", True, ["job-1"], [("a", "n0", 3)], 0.5, 9.0)),
+    peer_messages.encode(("cancelled", ["job-1"])),
+    peer_messages.encode(("load", "n0", 3.0, True, [("a", 2)], ["vm-000001"])),
 ]
 
 
@@ -73,21 +73,23 @@
     assert again == FROZEN_MEMBER
 
 
-@pytest.mark.parametrize("frame", FROZEN_HINTS)
+@pytest.mark.parametrize("frame", FROZEN_MESSAGES)
 def test_messages_of_the_earlier_version_are_understood(frame: bytes) -> None:
-    hint = hints.decode(frame)
+    hint = peer_messages.decode(frame)
     assert hint is not None
-    assert hints.encode(hint)[1 : len(frame)] == frame[1:]  # the first byte counts the fields
+    assert peer_messages.encode(hint)[1 : len(frame)] == frame[1:]  # the first byte counts the fields
 
 
 def test_the_earlier_version_reads_a_longer_message() -> None:
-    frame = hints.encode(hints.Load("n0", 3.0, True, [("a", 2)], ["vm-000001"], 4))
+    frame = peer_messages.encode(peer_messages.Load("n0", 3.0, True, [("a", 2)], ["vm-000001"], 4))
     assert msgspec.msgpack.decode(frame, type=EarlierLoad) == EarlierLoad("n0", 3.0, True, [("a", 2)], ["vm-000001"])
 
 
-@pytest.mark.parametrize("frame", [hints.encode(("unheard-of", 1)), b"", b"\xc1", hints.encode(("load",))])
+@pytest.mark.parametrize(
+    "frame", [peer_messages.encode(("unheard-of", 1)), b"", b"\xc1", peer_messages.encode(("load",))]
+)
 def test_unknown_messages_are_passed_over(frame: bytes) -> None:
-    assert hints.decode(frame) is None
+    assert peer_messages.decode(frame) is None
 
 
 def test_sizes_keep_within_what_is_allowed_now_and_later() -> None:
@@ -103,7 +105,7 @@
 def test_the_largest_record_fits_a_value(value_bytes: int) -> None:
     most = records.tasks_per_record(value_bytes)
     entry = TaskEntry(99_999, records.ASSIGNED, 10**6, "vm-" + "9" * 30, 10**6)
-    assert len(msgspec.json.encode(AllotRecord([entry] * most))) <= value_bytes
+    assert len(msgspec.json.encode(AllocationRecord([entry] * most))) <= value_bytes
 
 
 def test_a_rate_falls_at_once_and_no_further_than_announced() -> None:
