--- a/spurarch/coordination/machine.py
+++ b/spurarch/coordination/machine.py
@@ -136,6 +136,7 @@
     return_after: float = 0.0
     direct_after: float = 0.0
     reported: int = 0  # tasks in the newest report
+    tasks_seen: list[wire.TaskReport] | None = None  # what the newest report showed, unless tasks were assigned since
 
     def advance(self, standing: Standing) -> bool:
         """Changes the standing if that is a step a machine can take."""
--- a/spurarch/coordination/partition.py
+++ b/spurarch/coordination/partition.py
@@ -83,6 +83,7 @@
         self._returned: dict[str, None] = {}
         self._strange: set[str] = set()
         self._unknown_states: set[str] = set()
+        self._restarting: set[AllocationKey] = set()  # allocations with a task that is over and was not completed
         self.gangs = Gangs()
 
     # Tokens
@@ -197,6 +198,7 @@
         if gang is not None:
             gang.members[run.index] = run
         machine.idle_since = None
+        machine.tasks_seen = None
         self.attention[machine.name] = None
         if run.session < machine.session or (machine.standing is Standing.LOST and run.session <= machine.lost_session):
             self.step(run, Phase.GONE)  # recorded onto a session that was over by then
@@ -224,11 +226,17 @@
         for table in (self._by_allocation, self.over):
             if table.get(run.where, {}).pop(run.index, None) is run:
                 table.setdefault(where, {})[run.index] = run
-        if not self.over.get(run.where, True):
-            del self.over[run.where]
+        self._drop_empty(run.where)
         self._by_job[where.job].add(where)
+        if run.phase >= Phase.EXITED and run.why != wire.WHY_DONE:
+            self._restarting.add(where)
         run.where = where
 
+    def _drop_empty(self, where: AllocationKey) -> None:
+        if not self.over.get(where, True):
+            del self.over[where]
+            self._restarting.discard(where)
+
     def _forget_run(self, run: TaskAttempt) -> None:
         if self.runs.get(run.key) is run:
             del self.runs[run.key]
@@ -240,8 +248,7 @@
             held = table.get(run.where)
             if held is not None and held.get(run.index) is run:
                 del held[run.index]
-        if not self.over.get(run.where, True):
-            del self.over[run.where]
+        self._drop_empty(run.where)
         machine = self.machines.get(run.machine)
         if machine is not None:
             if machine.runs.get(run.key) is run:
@@ -256,6 +263,8 @@
         if phase in (Phase.EXITED, Phase.GONE):
             run.over_at = self.now
             self.over[run.where][run.index] = run
+            if phase is Phase.GONE or why != wire.WHY_DONE:
+                self._restarting.add(run.where)
         self.gangs.note(run.where.job)
         return True
 
@@ -371,8 +380,10 @@
         if report.notice_s is not None:
             self._save_gangs(machine, report.notice_s)
         machine.reported = len(report.tasks)
-        for task in report.tasks:
-            self._observe_task(machine, task, now)
+        if report.tasks != machine.tasks_seen:
+            machine.tasks_seen = report.tasks
+            for task in report.tasks:
+                self._observe_task(machine, task, now)
         if machine.runs:
             self.attention[machine.name] = None
 
@@ -662,20 +673,28 @@
         not: the last end of an allocation, and a task that has to start again.
         """
         out: dict[AllocationKey, dict[int, TaskEntry]] = {}
+        recorded = state.zone_allocations[self.zone]
         for where, runs in self.over.items():
-            entries = {run.index: TaskEntry(run.index, self._outcome(state, run), run.attempt) for run in runs.values()}
-            record = state.zone_allocations[self.zone].get(where)
-            if record is None:
-                continue
-            oldest = min(run.over_at for run in runs.values())
-            if (
-                self.now - oldest >= gather_s
-                or any(entry.state != records.ENDED for entry in entries.values())
-                or all(e.state == records.ENDED or e.index in entries for e in record.tasks)
+            if where in recorded and (
+                self._oldest_end(runs) <= self.now - gather_s or self._awaited(state, where, runs)
             ):
-                out[where] = entries
+                out[where] = {
+                    run.index: TaskEntry(run.index, self._outcome(state, run), run.attempt) for run in runs.values()
+                }
         return out
 
+    @staticmethod
+    def _oldest_end(runs: dict[int, TaskAttempt]) -> float:
+        return next(iter(runs.values())).over_at  # they are in the order in which they were proved
+
+    def _awaited(self, state: State, where: AllocationKey, runs: dict[int, TaskAttempt]) -> bool:
+        """Someone waits for the record of these ends: the last ones of an allocation, or a task that starts again."""
+        if where not in self.free and len(runs) == len(self._by_allocation.get(where, ())):
+            return True
+        if not live(state, where.job):
+            return False
+        return where in self._restarting or state.jobs[where.job].spec.kind == wire.SERVICE
+
     def _outcome(self, state: State, run: TaskAttempt) -> int:
         done = run.phase is Phase.EXITED and run.why == wire.WHY_DONE and not self._is_service(state, run)
         gang = self.gangs.get(run.where.job)
