--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -9,8 +9,9 @@
 
 from spurarch.coordination.admission import Grant
 from spurarch.coordination.leader import Leader
+from spurarch.protocol import wire
 from spurarch.storage import records
-from spurarch.storage.records import AllocationKey, AllocationRecord, JobRecord, TaskEntry
+from spurarch.storage.records import AllocationKey, AllocationRecord, FinalRecord, JobRecord, TaskEntry
 from tests.sim.clock import Clock
 from tests.test_scale import Fleet, submission
 
@@ -49,6 +50,25 @@
     assert leader._stands("job-1", [], leader._as_planned("job-1"))
 
 
+def test_a_gang_is_done_once_a_member_is_and_none_is_left_on_a_machine() -> None:
+    """Members complete together; until the last one is off its machine, its team is charged for it."""
+    fleet = Fleet(0)
+    job = JobRecord(submission("job-1", 3), 0.0)
+    job.spec.kind = wire.GANG
+    fleet.put(f"{records.JOB}job-1", job)
+    leader = leader_of(fleet)
+    ended, free = TaskEntry(0, records.ENDED, 1), TaskEntry(1, records.FREE, 1)
+    finals = []
+    for last in (TaskEntry(2, records.ASSIGNED, 1, "vm-1", 1), TaskEntry(2, records.FREE, 1)):
+        fleet.put(str(SOURCE), AllocationRecord([ended, free, last]))
+        finals.append(leader._final("job-1"))
+    assert finals == [None, FinalRecord(wire.DONE, 3)]
+    job.spec.kind = wire.BATCH
+    fleet.put(f"{records.JOB}job-2", JobRecord(submission("job-2", 2), 0.0))
+    fleet.put(str(AllocationKey("a", "job-2", 0)), AllocationRecord([ended, free]))
+    assert leader._final("job-2") is None
+
+
 def test_a_controller_that_does_not_lead_gathers_no_news() -> None:
     """Ends of jobs have rounds of their own; what they collect from must not grow on controllers that never lead."""
     fleet = Fleet(3)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -7,13 +7,16 @@
 from typing import Any
 
 import curio
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from spurarch.coordination.admission import Admission
 from spurarch.coordination.best_fit import Draft, Need, Room, best_fit, fill
+from spurarch.coordination.machine import Phase
 from spurarch.coordination.membership import rate_shares
 from spurarch.coordination.partition import Partition, merged
+from spurarch.coordination.placing import Placer
 from spurarch.coordination.tabu import Replica, Search, Weights
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
@@ -122,6 +125,67 @@
     assert (costs[1] - costs[0]) / 19 < 300  # less than one look at each machine
 
 
+def test_like_replicas_without_room_ask_once_whom_to_stop(monkeypatch: pytest.MonkeyPatch) -> None:
+    """While a large fleet came up, each waiting replica asked every machine in each round."""
+    looks = 0
+    fits = Room.fits_by_preemption
+
+    def counted(room: Room, need: Need) -> bool:
+        nonlocal looks
+        looks += 1
+        return fits(room, need)
+
+    monkeypatch.setattr(Room, "fits_by_preemption", counted)
+    seen = []
+    for services in (1, 20):
+        fleet = Fleet(50)
+        for room in fleet.view.rooms.values():
+            room.free_cpus = -1000.0  # lower work runs, and to stop it would not be enough
+        for i in range(services):
+            job = JobRecord(submission(f"job-9{i}", 5), 1.0)
+            job.spec.kind, job.spec.priority = wire.SERVICE, "production"
+            key = str(AllocationKey("a", f"job-9{i}", 0))
+            fleet.put(f"{records.JOB}job-9{i}", job)
+            fleet.put(key, AllocationRecord([TaskEntry(n) for n in range(5)]))
+            fleet.news([key])
+        looks = 0
+        Placer().run(fleet.part, fleet.view, 2.0, lambda: False, 100)
+        seen.append(looks)
+    assert seen[0] == seen[1] == 50
+
+
+def test_ends_that_wait_to_be_gathered_cost_the_same_however_many_they_are() -> None:
+    """Each round went through all of them, and through all tasks of their allocations."""
+    costs = []
+    for ended in (1, 60):
+        fleet = Fleet(1)
+        entries = [TaskEntry(n, records.ASSIGNED, 1, "vm-0", 1) for n in range(100)]
+        key = str(AllocationKey("a", "job-0", 0))
+        fleet.put(key, AllocationRecord(entries))
+        fleet.news([key])
+        for run in list(fleet.part.runs.values())[:ended]:
+            fleet.part.step(run, Phase.EXITED, wire.WHY_DONE)
+        assert fleet.part.ends(fleet.state, 3.0) == {}
+        costs.append(calls(lambda f=fleet: f.part.ends(f.state, 3.0)))  # type: ignore[misc]
+    assert costs[0] == costs[1]
+
+
+def test_a_report_that_shows_what_the_last_one_did_is_not_gone_through_again() -> None:
+    fleet = Fleet(1)
+    token = fleet.part.token(fleet.part.machines["vm-0"])
+    seen: list[str] = []
+    observe = fleet.part._observe_task
+    fleet.part._observe_task = lambda machine, task, now: seen.append(task.task) or observe(machine, task, now)  # type: ignore
+    for seq in (3, 4, 5):
+        fleet.report(0, seq, token)
+    assert seen == []
+    key = str(AllocationKey("a", "job-0", 0))
+    fleet.put(key, AllocationRecord([TaskEntry(n, records.ASSIGNED, 2, "vm-0", 1) for n in range(4)]))
+    fleet.news([key])
+    fleet.report(0, 6, token)
+    assert len(seen) == 4
+
+
 def room(index: int, cpus: float, free: float, images: frozenset[int]) -> Room:
     return Room(index, 0, 0, False, cpus, 0.0, 256.0, free, 0.0, 256.0, set(images))
 
