--- a/spurarch/transport/http.py
+++ b/spurarch/transport/http.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import lru_cache
 
 import curio
 import h11
@@ -19,6 +20,7 @@
 READ_SIZE = 16384  # no more than a head may hold, so that h11 sees a long one as incomplete
 IDLE_SERVER_S = 120.0
 SLOW_REQUEST_S = 10.0
+HEADS_KEPT = 2000
 
 
 @dataclass(slots=True)
@@ -126,12 +128,16 @@
             await sock.sendall(_render(conn, response, True))
 
 
+@lru_cache(HEADS_KEPT)
+def _response_head(status: int, length: int, headers: tuple[tuple[str, str], ...]) -> h11.Response:
+    """The head of a response. Most are like one before, and to check the headers costs more than to send them."""
+    fixed = [("Content-Type", "application/json"), ("Content-Length", str(length))]
+    return h11.Response(status_code=status, headers=[*fixed, *headers])
+
+
 def _render(conn: h11.Connection, response: Response, close: bool) -> bytes:
-    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(response.body)))]
-    headers += response.headers
-    if close:
-        headers.append(("Connection", "close"))
-    out = conn.send(h11.Response(status_code=response.status, headers=headers)) or b""
+    headers = (*response.headers, ("Connection", "close")) if close else tuple(response.headers)
+    out = conn.send(_response_head(response.status, len(response.body), headers)) or b""
     out += conn.send(h11.Data(data=response.body)) or b""
     return out + (conn.send(h11.EndOfMessage()) or b"")
 
