--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -30,6 +30,8 @@
 at 4 submit job-3 team=u tasks=8 run=6
 at 5 submit job-4 tasks=4 run=150
 at 6 submit job-5 zone=b tasks=4 run=12,30
+at 6.5 submit job-10 kind=gang together tasks=3 cpus=2 run=25 checkpoint=10 save=1 fetch=1
+at 7 submit job-11 kind=gang priority=high tasks=4 run=12
 """
 
 nodes, zones = st.sampled_from(["n0", "n1", "n2"]), st.sampled_from(["a", "b", "c"])
@@ -58,7 +60,7 @@
 )
 moments = st.integers(80, 400).map(lambda tenths: tenths / 10)
 timed = st.builds("at {} {}".format, moments, troubles)
-cancels = st.builds("at {} cancel job-{}".format, moments, st.sampled_from([3, 4, 4, 4, 5]))
+cancels = st.builds("at {} cancel job-{}".format, moments, st.sampled_from([3, 4, 4, 4, 5, 10]))
 submits = st.builds("at {0} submit job-{1} tasks={2} run=5".format, moments, st.integers(6, 9), st.integers(1, 6))
 days = st.builds(
     lambda lines: "\n".join(dict.fromkeys(sorted(lines, key=lambda line: float(line.split()[1])))),
