--- a/spurarch/coordination/owned_partition.py
+++ b/spurarch/coordination/owned_partition.py
@@ -24,7 +24,6 @@
         self.next_overdue = 0.0
         self.cleaned_at = 0.0
         self.peopled_at = part.taken_at  # when the part last had machines
-        self.rest_s = 0.0  # before the next round, by what the decisions of the last one took
         self.working = False
         self.provisional = False  # it works by records that were read before its claim, to stop what is cancelled
         self.cut = False
--- a/spurarch/coordination/partition_owner.py
+++ b/spurarch/coordination/partition_owner.py
@@ -37,8 +37,6 @@
 
 TICK_S = 0.1
 PAUSE_S = 0.03
-MOST_REST_S = 0.25
-ROUND_REST = 6.0  # times what a round took: while thousands of tasks start and end, every report asks for another one
 PART_TICK_S = 0.25
 MOST_PLACED = 200  # allocations in one round
 MOST_BATCHES = 2  # of one urgency in one round, so that what comes meanwhile is planned in its place
@@ -203,7 +201,7 @@
             except Exception:  # a failure in one round must not end the controller
                 log.exception("round of part %s failed", zone)
                 await curio.sleep(TICK_S)
-            await curio.sleep(max(PAUSE_S, held.rest_s))
+            await curio.sleep(PAUSE_S)
 
     async def _run_commands(self, held: OwnedPartition) -> None:
         """Stops and starts go out while transactions wait in line.
@@ -287,7 +285,6 @@
                 changes.setdefault(where, {}).update(entries)
             if placed.unfinished:
                 await held.bell.set()
-        held.rest_s = min(MOST_REST_S, ROUND_REST * (time.monotonic() - now))
         await self._commit(held, changes, writes)
         self._refine(held, now)
         await self._send(held)
