--- a/spurarch/protocol/wire.py
+++ b/spurarch/protocol/wire.py
@@ -39,7 +39,6 @@
 QUEUED, RUNNING, DONE, CANCELLED = "pending", "running", "done", "aborted"
 
 FETCHING, GATHERING, SAVING, EXITED = "fetching", "gathering", "saving", "ended"
-TASK_STATES = frozenset((FETCHING, GATHERING, RUNNING, SAVING, EXITED))
 WHY_DONE, WHY_ERROR, WHY_STOPPED = "done", "error", "halted"
 WHY_PEERS, WHY_INCOMPLETE = "peers", "incomplete"
 WHY_NO_ROOM, WHY_BUSY, WHY_UNKNOWN = "full", "in_use", "no_such"
