--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -5,7 +5,6 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
-from math import ceil
 
 import curio
 
@@ -231,7 +230,7 @@
 
     def _pieces(self, source: AllocationKey) -> int:
         """How many changes it takes at most to write a record again."""
-        return max(1, ceil(len(self.replica.state.allocations[source.job][source].tasks) / self._chunk))
+        return records.pieces_of(self.replica.state.allocations[source.job][source], self._chunk)
 
     def _shrunk(self, moved: dict[AllocationKey, set[int]]) -> list[Write]:
         out: list[Write] = []
--- a/spurarch/coordination/partition_owner.py
+++ b/spurarch/coordination/partition_owner.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass
-from math import ceil
 from random import Random
 
 import curio
@@ -414,7 +413,7 @@
         for item in items:
             record = allocations.get(item.where) if item.where is not None and item.write is None else None
             length = records.change_bytes(record)
-            pieces = max(1, ceil(len(record.tasks) / self._record_tasks)) if record is not None else 1
+            pieces = records.pieces_of(record, self._record_tasks) if record is not None else 1
             if not out or changes + pieces > self._most_changes or size + length > records.TXN_BYTES:
                 out.append([])
                 size = changes = 0
--- a/spurarch/storage/records.py
+++ b/spurarch/storage/records.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import ceil
 from typing import Any
 
 import msgspec
@@ -182,6 +183,11 @@
 SPLIT_STRIDE = 1000
 
 
+def pieces_of(record: AllocationRecord, most_tasks: int) -> int:
+    """How many changes it takes to write the record within a limit on its tasks."""
+    return max(1, ceil(len(record.tasks) / most_tasks))
+
+
 def split(
     where: AllocationKey, record: AllocationRecord, most_tasks: int
 ) -> list[tuple[AllocationKey, AllocationRecord]]:
