--- a/spurarch/cli.py
+++ b/spurarch/cli.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-import argparse
 import logging
 import os
 import sys
+from typing import TYPE_CHECKING
 
 from spurarch import __version__
 from spurarch.settings import Platform, SettingsError, Tuning, load_platform, load_tuning
 
+if TYPE_CHECKING:
+    import argparse
+
+    from spurarch.coordination.controller import Controller
+
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 USAGE, FAILED = 2, 1
 GC_ALLOCATIONS = 20_000
@@ -17,6 +22,8 @@
 
 def build_parser() -> argparse.ArgumentParser:
     """The parser of all commands. Without a command, `--config FILE` serves."""
+    import argparse
+
     parser = argparse.ArgumentParser(prog="spurarch", description="A cluster scheduler run by a few controllers.")
     parser.add_argument("--version", action="version", version=f"spurarch {__version__}")
     _add_settings(parser, required=False)
@@ -45,22 +52,30 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Runs a command; returns its exit code."""
+    words = sys.argv[1:] if argv is None else argv
+    if len(words) == 2 and words[0] == "--config":
+        return _run(None, words[1], None)  # as the platform starts a controller: no parser has to be built for that
     parser = build_parser()
-    args = parser.parse_args(argv)
+    args = parser.parse_args(words)
     if args.command in ("submit", "show", "cancel"):
         return _request(args)
     if args.config is None:
         parser.error("--config FILE or a command is needed")
+    return _run(args.command, args.config, args.tuning)
+
+
+def _run(command: str | None, config: str, tuning_file: str | None) -> int:
+    """Runs a command that needs the settings; without a name, a controller."""
     try:
-        platform, tuning = load_platform(args.config), load_tuning(args.tuning)
+        platform, tuning = load_platform(config), load_tuning(tuning_file)
         level = _level()
     except SettingsError as err:
         print(f"spurarch: {err}", file=sys.stderr)
         return USAGE
-    if args.command == "check":
+    if command == "check":
         print("settings are good")
         return 0
-    if args.command == "settings":
+    if command == "settings":
         return _print_settings(platform, tuning)
     return _serve(platform, tuning, level)
 
@@ -72,21 +87,35 @@
     return LEVELS[name]
 
 
+def load_controller() -> type[Controller]:
+    """Imports what a controller needs to answer workers, and nothing else."""
+    from spurarch.transport import slim_curio
+
+    slim_curio.install()
+    from spurarch.coordination.controller import Controller
+
+    return Controller
+
+
 def _serve(platform: Platform, tuning: Tuning, level: int) -> int:
     logging.basicConfig(level=level, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
     # curio warns whenever a wait ends just as its limit does, which is harmless and common on a busy core.
     logging.getLogger("curio").setLevel(logging.ERROR)
+    scarce = platform.deployment.limits.scarce()
+    if scarce:
+        logging.getLogger(__name__).warning("deployment.limits: scarce: %s", "; ".join(scarce))
+    controller = load_controller()
     import gc
 
     import curio
 
-    from spurarch.coordination.controller import Controller
-
     # Records live long and form no cycles; looking through all of them over and over is a large part of the processor.
     gc.set_threshold(GC_ALLOCATIONS, 20, 50)
+    gc.freeze()
+    gc.enable()
 
     try:
-        curio.run(Controller(platform, tuning).run)
+        curio.run(controller(platform, tuning).run)
     except KeyboardInterrupt:
         return 0
     except OSError as err:
--- a/spurarch/coordination/best_fit.py
+++ b/spurarch/coordination/best_fit.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 EPSILON = 1e-6
@@ -173,14 +173,35 @@
             room.take(need, -count)
 
 
-def _order(need: Need, room: Room) -> tuple[bool, float, float]:
-    fullness = 1.0 - (room.free_cpus - need.cpus) / room.cpus if room.cpus else 1.0
-    return need.image not in room.images, -round(fullness, 6), room.cpus
+def fitting(need: Need, rooms: Iterable[Room]) -> list[Room]:
+    """The machines where such a task may run and has room.
+
+    Says what `Room.fits` says of each, in one expression: this is asked of every machine for every kind of task, and
+    calls were most of what it cost.
+    """
+    cpus, gpus, memory = need.cpus - EPSILON, need.gpus - EPSILON, need.memory_gb - EPSILON
+    types, zones, spot = need.types, need.zones, need.spot
+    return [
+        room for room in rooms
+        if room.free_cpus >= cpus and room.free_memory_gb >= memory and room.free_gpus >= gpus
+        and (spot or not room.spot) and (types is None or room.type in types) and (zones is None or room.zone in zones)
+    ]  # fmt: skip
+
+
+def _order(need: Need) -> Callable[[Room], tuple[bool, float, float]]:
+    """Best fit: machines with the image, then the fullest, then the smallest."""
+    cpus, image = need.cpus, need.image
+
+    def key(room: Room) -> tuple[bool, float, float]:
+        fullness = 1.0 - (room.free_cpus - cpus) / room.cpus if room.cpus else 1.0
+        return image not in room.images, -round(fullness, 6), room.cpus
+
+    return key
 
 
 def best_fit(need: Need, rooms: Iterable[Room]) -> Room | None:
     """The machine for a newcomer, or None if none fits."""
-    return min((room for room in rooms if room.fits(need)), key=lambda room: _order(need, room), default=None)
+    return min(fitting(need, rooms), key=_order(need), default=None)
 
 
 def fill(need: Need, rooms: Iterable[Room], count: int, draft: Draft) -> list[tuple[Room, int]]:
@@ -192,7 +213,7 @@
             draft.take(room, need)
             out.append((room, 1))
         return out
-    for room in sorted((room for room in rooms if room.fits(need)), key=lambda room: _order(need, room)):
+    for room in sorted(fitting(need, rooms), key=_order(need)):
         if count <= 0:
             break
         taken = room.slots(need, count)
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import logging
-import secrets
+import os
 import time
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 import curio
 import msgspec
 
-from spurarch.coordination.leader import Leader
+from spurarch.coordination.loop_lag import LoopLag
 from spurarch.coordination.membership import Membership, rate_shares
 from spurarch.coordination.partition_owner import PartitionOwner, direct_connections
 from spurarch.coordination.stall_detector import BEAT_S, StallDetector
@@ -27,11 +28,15 @@
 from spurarch.transport.http import Request, Response
 from spurarch.transport.network import Calls, Network
 
+if TYPE_CHECKING:
+    from spurarch.coordination.leader import Leader
+
 log = logging.getLogger(__name__)
 
 CUT_AFTER_S = 1.5
 PING_S = 1.0
 AGAIN_S = 0.5
+ROUNDS_AFTER_S = 0.2  # after the claim
 SHARE_S, SHARE_LEAST_S = 1.0, 0.2
 CLOUD_LEADER = 0.6  # of the cloud's rate: rentals and lists; the others only return machines
 SOCKETS_RESERVED = 100  # the state service, the cloud, peers, and some to spare
@@ -48,7 +53,7 @@
         self.platform, self.tuning = platform, tuning
         self.network = network = network or Network()
         deployment = platform.deployment
-        self.boot = boot or secrets.token_hex(8)  # names this process; no other ever has the same
+        self.boot = boot or os.urandom(8).hex()  # names this process; no other ever has the same
         external = platform.external
         limits = deployment.state
         self.store = Store(network.client(external.state, 24), limits, deployment.count)
@@ -60,21 +65,12 @@
         workers = deployment.workers
         self.reachability = StoreReachability([p.node for p in platform.peers], workers.cancel_s, workers.lease_s)
         self.stall_detector = StallDetector()
+        self._lag = LoopLag()
         self.view = FleetView(self.replica.state, deployment.teams, tuning.size_weight, deployment.objectives)
         self.holder = PartitionOwner(
-            self.replica, self.membership, self.view, self.cloud, self.reachability, self.stall_detector, deployment, tuning, network
+            self.replica, self.membership, self.view, self.cloud, self.reachability, self.stall_detector, self._lag,
+            deployment, tuning, network,
         )  # fmt: skip
-        self.leader = Leader(
-            self.replica,
-            self.membership,
-            self.view,
-            self.cloud,
-            self.stall_detector,
-            deployment,
-            tuning,
-            self.boot,
-            self._wake,
-        )
         self.users = Users(
             self.replica, self.view, deployment, [platform.node, *(p.node for p in platform.peers)],
             self._wake, self._tell_cancelled,
@@ -96,9 +92,6 @@
             self._start,
             self.replica.run_sync,
             self.holder.run,
-            self.leader.run,
-            self.leader.run_ends,
-            self.leader.run_cloud,
             self._keep_word,
             self._beat,
             self._wake_peers,
@@ -137,8 +130,24 @@
                 log.info("start: %s", err)
                 await curio.sleep(0.2)
         async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self.replica.run_watch)
-            await group.spawn(self.membership.run)
+            for task in (self.replica.run_watch, self.membership.run, self._run_leader):
+                await group.spawn(self._guarded, task)
+
+    async def _run_leader(self) -> None:
+        """The leader's rounds. They are loaded a little after the claim: reports that have come by then go first."""
+        await curio.sleep(ROUNDS_AFTER_S)
+        leader = self._leader()
+        async with curio.TaskGroup(wait=any) as group:
+            for task in (leader.run, leader.run_ends, leader.run_cloud):
+                await group.spawn(self._guarded, task)
+
+    def _leader(self) -> Leader:
+        from spurarch.coordination.leader import Leader
+
+        return Leader(
+            self.replica, self.membership, self.view, self.cloud, self.stall_detector, self.platform.deployment,
+            self.tuning, self.boot, self._wake,
+        )  # fmt: skip
 
     # Requests
 
@@ -231,12 +240,19 @@
         await self.replica.sync()
 
     async def _beat(self) -> None:
+        """Notices when this process stood still, and wakes whatever has something to do now and then.
+
+        One timer for all: a limit on each wait for news costs more than most of what is done on waking.
+        """
         while True:
             woke_at = self.stall_detector.woke_at
             if self.stall_detector.beat(time.monotonic()) != woke_at:
                 log.warning("this process stood still; it reads the state service before it goes on")
                 await curio.spawn(self._follow, daemon=True)
+            await self.replica.ring()
+            due = time.monotonic() + BEAT_S
             await curio.sleep(BEAT_S)
+            self._lag.note(time.monotonic() - due)
 
     async def _wake(self) -> None:
         await self._waking.set()
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -12,6 +12,7 @@
 from spurarch.coordination.membership import Membership
 from spurarch.coordination.partition import live
 from spurarch.coordination.provisioning import Kind, Order, Turnover, plan_rentals, room_of
+from spurarch.coordination.round_budget import RoundBudget, rest_s
 from spurarch.coordination.stall_detector import StallDetector
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
@@ -25,13 +26,12 @@
 
 log = logging.getLogger(__name__)
 
-TICK_S = 0.25
 LIST_EVERY_S = 5.0
 TYPES_EVERY_S = 60.0
 NEVER_UP_FACTOR = 4.0
 NEVER_UP_LEAST_S = 90.0
 ROUND_PAUSE_S = 0.1
-ROUND_REST = 8.0  # times what a round took
+ROUND_REST = 8.0  # times the processor time of a round
 PIECE = 16  # tasks: while changes are scarce, an array is admitted to a zone in no smaller pieces
 ENDS_PAUSE_S = 0.1
 FRESH_S = 3.0
@@ -78,7 +78,7 @@
     async def run(self) -> None:
         """Rounds of the leader: on news, and every now and then."""
         while True:
-            await curio.ignore_after(TICK_S, self._bell.wait)
+            await self._bell.wait()
             self._bell.clear()
             try:
                 if self.replica.loaded and self.membership.leading and self.view.offers:
@@ -102,7 +102,8 @@
         now = time.monotonic()
         if now < self._next_full:
             return
-        deadline = now + self.tuning.budget_ms / 1000
+        share = self.deployment.limits.cpu
+        budget = RoundBudget(self.tuning.budget_ms / 1000, share)
         self.view.update()
         self._settle_booting()
         coming = [
@@ -114,9 +115,10 @@
             self.view, time.time(), self.tuning.ahead_s, self.tuning.longest_wait_s, coming,
             max(1, round(PIECE * scarce)),
         )  # fmt: skip
-        plan = admission.run(self._next_job, lambda: time.monotonic() > deadline, self.deployment.state.txn_ops)
+        plan = admission.run(self._next_job, budget.spent, self.deployment.state.txn_ops)
         # A share of the processor at most, however much there is to admit.
-        self._next_full = time.monotonic() + max(ROUND_PAUSE_S, ROUND_REST * (time.monotonic() - now))
+        ended = time.monotonic()
+        self._next_full = ended + rest_s(ended - now, share, ROUND_REST, ROUND_PAUSE_S)
         self._note_shortages(plan)
         urgent = [grant for grant in plan.grants if not self.view.jobs[grant.job].array]
         arrays = [grant for grant in plan.grants if self.view.jobs[grant.job].array]
--- a/spurarch/coordination/membership.py
+++ b/spurarch/coordination/membership.py
@@ -151,7 +151,7 @@
                 raise
             except Exception:  # a failure here must not end the controller
                 log.exception("membership round failed")
-            await curio.ignore_after(0.25, self._bell.wait)
+            await self._bell.wait()
             self._bell.clear()
             await curio.sleep(0.05)
 
--- a/spurarch/coordination/owned_partition.py
+++ b/spurarch/coordination/owned_partition.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+from functools import cached_property
+from typing import TYPE_CHECKING
+
 import curio
 
 from spurarch.coordination.partition import Partition
-from spurarch.coordination.placing import Placer
 from spurarch.settings import Tuning
 
+if TYPE_CHECKING:
+    from spurarch.coordination.placing import Placer
+
 
 class OwnedPartition:
     """A part and what its holder keeps beside it."""
 
-    def __init__(self, part: Partition, tuning: Tuning) -> None:
+    def __init__(self, part: Partition, tuning: Tuning, silent_s: float) -> None:
         self.part = part
-        self.placer = Placer(tuning.longest_wait_s, tuning.guarantee_wait_s)
+        self._tuning, self._silent_s = tuning, silent_s
         self.dirty: dict[str, None] = {}
         self.bell = curio.Event()
         self.next_search = 0.0
@@ -28,3 +33,10 @@
         self.provisional = False  # it works by records that were read before its claim, to stop what is cancelled
         self.cut = False
         self.cut_since: float | None = None  # most machines are silent
+
+    @cached_property
+    def placer(self) -> Placer:
+        """Places new tasks here; loaded with the first round, since answers to workers don't need it."""
+        from spurarch.coordination.placing import Placer
+
+        return Placer(self._tuning.longest_wait_s, self._tuning.guarantee_wait_s, self._silent_s)
--- a/spurarch/coordination/partition.py
+++ b/spurarch/coordination/partition.py
@@ -22,11 +22,11 @@
 TOKEN_BITS = 36
 ASK_LEASES = 0.6  # of a lease: time after which a machine is given a new token, to see that it hears us
 DEAF_LEASES = 0.5  # several reports: a worker shows a higher token with the next one that it sends
-STRANGE_KEPT = 1000
-RETURNED_KEPT = 5000
+STRANGE_KEPT = 5000  # machines of which a line is logged
+RETURNED_KEPT = 20_000  # names: several times a fleet
 FAULTS_BEFORE_PAUSE = 2
 FAULT_PAUSE_S = 30.0
-MACHINES_BLAMED = 2
+MACHINES_BLAMED = 2  # a job without a success that fails on so many is faulty itself
 REFUSAL_PAUSE_S = 2.0
 NOTICE_MARGIN_S = 1.0  # commands and reports take that long
 SAVE_FACTOR, SAVE_MARGIN_S = 1.5, 1.0  # the time that a task is given to save, from what its owner says it takes
@@ -41,6 +41,7 @@
     not_before: float = 0.0
     good: bool = False  # a task of it has completed
     machines: set[str] = field(default_factory=set)  # where it failed
+    blamed: dict[str, int] = field(default_factory=dict)  # failures of it that were put down to a machine
 
     def back_off(self, now: float) -> None:
         """One more failure: the next try waits longer."""
@@ -68,6 +69,7 @@
         self.backoffs: dict[str, JobBackoff] = defaultdict(JobBackoff)
         self.dark = False  # nobody hears its workers
         self.ready = False  # the records of this part have been read since it was claimed
+        self.occasions = 0  # machines that became known and tasks that left: a round of decisions may use the room
         self.cancelled_ago: Callable[[str], float | None] = (
             lambda job: None
         )  # seconds since a job was cancelled, if it was
@@ -262,6 +264,7 @@
             return False
         if phase in (Phase.EXITED, Phase.GONE):
             run.over_at = self.now
+            self.occasions += 1
             self.over[run.where][run.index] = run
             if phase is Phase.GONE or why != wire.WHY_DONE:
                 self._restarting.add(run.where)
@@ -376,6 +379,7 @@
                 machine.deaf = False
         if machine.advance(Standing.KNOWN):
             self.grew_at = now
+            self.occasions += 1
         machine.notice_until = None if report.notice_s is None else now + report.notice_s
         if report.notice_s is not None:
             self._save_gangs(machine, report.notice_s)
@@ -426,9 +430,11 @@
         backoff = self.backoffs[run.where.job]
         if run.why == wire.WHY_ERROR:
             backoff.machines.add(machine.name)
-            # A job that fails wherever it is put says nothing of the machines.
-            if backoff.good or len(backoff.machines) <= MACHINES_BLAMED:
+            if backoff.good or len(backoff.machines) < MACHINES_BLAMED:
                 machine.failures += 1
+                backoff.blamed[machine.name] = backoff.blamed.get(machine.name, 0) + 1
+            else:
+                self._forgive(backoff)
             backoff.back_off(now)
             log.info("task %s/%d failed on %s (attempt %d)", *run.key, machine.name, run.attempt)
             if machine.failures >= FAULTS_BEFORE_PAUSE:
@@ -441,13 +447,24 @@
             backoff.failures, backoff.good = 0, True
             machine.failures = 0
 
+    def _forgive(self, backoff: JobBackoff) -> None:
+        """A job that fails wherever it is put says nothing of the machines, nor did its failures before it showed."""
+        for name, failures in backoff.blamed.items():
+            machine = self.machines.get(name)
+            if machine is not None:
+                machine.failures = max(0, machine.failures - failures)
+                if machine.failures < FAULTS_BEFORE_PAUSE:
+                    machine.avoid_until = 0.0
+        backoff.blamed.clear()
+
     def _prove_absent(self, machine: Machine, report: wire.Report) -> None:
         """A task that has to go and is not in the report is off the machine, if no start can still be on its way."""
-        if not machine.fenced:
+        stopping = [run for run in machine.runs.values() if run.stop]
+        if not stopping or not machine.fenced:
             return
         listed = {wire.split_task(t.task) for t in report.tasks}
-        for run in list(machine.runs.values()):
-            if run.stop and run.key not in listed and report.seq > run.sent_seq:
+        for run in stopping:
+            if run.key not in listed and report.seq > run.sent_seq:
                 self.step(run, Phase.GONE)
 
     # Commands
@@ -464,17 +481,16 @@
         if report is not None:
             out += self._clean(machine, report)
         for run in machine.runs.values():
-            name = wire.task_name(*run.key)
             if run.stop:
                 if run.phase < Phase.EXITED and not self._saving(run):
-                    out.append(wire.Command(wire.STOP, name, run.attempt, run.grace_s))
+                    out.append(wire.Command(wire.STOP, wire.task_name(*run.key), run.attempt, run.grace_s))
             elif (
                 run.phase in (Phase.ASSIGNED, Phase.STARTING)
                 and run.session == machine.session
                 and self._startable(run)
             ):
                 self.step(run, Phase.STARTING)
-                out.append(wire.Command(wire.START, name, run.attempt))
+                out.append(wire.Command(wire.START, wire.task_name(*run.key), run.attempt))
         return out
 
     def _saving(self, run: TaskAttempt) -> bool:
@@ -660,12 +676,20 @@
             record = state.zone_allocations[self.zone].get(where)
             if record is None:
                 self.stale.discard(where)
-            elif not live(state, where.job):
-                over = self.over.get(where, {})
-                if all(e.state != records.ASSIGNED or e.index in over for e in record.tasks):
-                    out.append(where)
+            elif self.is_left_over(state, where):
+                out.append(where)
         return out
 
+    def is_left_over(self, state: State, where: AllocationKey) -> bool:
+        """The allocation's job is over, and none of its tasks may still run."""
+        record = state.zone_allocations[self.zone].get(where)
+        if record is None or live(state, where.job):
+            return False
+        over = self.over.get(where, {})
+        if len(over) < len(self._by_allocation.get(where, ())):
+            return False  # most of the time this says all; the rest goes through the record
+        return all(entry.state != records.ASSIGNED or entry.index in over for entry in record.tasks)
+
     def ends(self, state: State, gather_s: float) -> dict[AllocationKey, dict[int, TaskEntry]]:
         """Entries of tasks whose end or absence is proved and is to be recorded now.
 
--- a/spurarch/coordination/partition_owner.py
+++ b/spurarch/coordination/partition_owner.py
@@ -11,13 +11,14 @@
 import curio
 import msgspec
 
-from spurarch.coordination.local_search import refine
+from spurarch.coordination.loop_lag import LoopLag
 from spurarch.coordination.machine import Machine, Standing, TaskAttempt
 from spurarch.coordination.membership import Membership
 from spurarch.coordination.owned_partition import OwnedPartition
 from spurarch.coordination.partition import Partition, is_live_gang, merged, save_grace_s
 from spurarch.coordination.permissions import Permissions
 from spurarch.coordination.releasing import MachineReleaser
+from spurarch.coordination.round_budget import RoundBudget
 from spurarch.coordination.stall_detector import StallDetector
 from spurarch.coordination.store_reachability import StoreReachability
 from spurarch.coordination.view import FleetView
@@ -36,7 +37,7 @@
 
 TICK_S = 0.1
 PAUSE_S = 0.03
-PART_TICK_S = 0.25
+PART_TICK_S = 0.2  # a little below the interval at which all who wait for news are woken
 MOST_PLACED = 200  # allocations in one round
 MOST_BATCHES = 2  # of one urgency in one round, so that what comes meanwhile is planned in its place
 GATHER_S = 3.0
@@ -49,6 +50,7 @@
 SILENT_REPORTS = 2.5
 STRANGERS_S = 5.0  # a worker that looks for its holder comes by more often than that
 MOVE_S = 15.0
+SEARCH_PUT_OFF_S = 30.0  # at most, while the event loop is late
 QUIET_PAUSE_S = 2.0  # between tries to tell a silent machine that a task of it is cancelled
 
 
@@ -76,9 +78,9 @@
 
     def __init__(
         self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, reachability: StoreReachability, stall_detector: StallDetector,
-        deployment: Deployment, tuning: Tuning, network: Network,
+        lag: LoopLag, deployment: Deployment, tuning: Tuning, network: Network,
     ) -> None:  # fmt: skip
-        self._network = network
+        self._network, self._lag = network, lag
         self.replica, self.membership, self.view = replica, membership, view
         self.reachability, self.deployment, self.tuning = reachability, deployment, tuning
         self._record_tasks = records.tasks_per_record(deployment.state.value_bytes)
@@ -121,13 +123,12 @@
         if not self._permissions.answers(now):
             return 503, wire.encode(wire.ErrorBody("cut from the state service for too long"))
         held = self._hold(report.zone, now)
-        fresh = held.part.machines.get(report.machine)
-        news = fresh is None or fresh.reported != len(report.tasks)
+        occasions = held.part.occasions
         commands = held.part.on_report(report, now, self._permissions.steady(now))
         if commands is None:
             return 503, wire.encode(wire.ErrorBody("not entitled to this worker"))
         machine = held.part.machines[report.machine]
-        if news or held.part.over:
+        if held.part.occasions != occasions:
             await held.bell.set()
         return 200, wire.encode(wire.ReportAnswer(held.part.token(machine), commands))
 
@@ -143,9 +144,10 @@
         held = self.held.get(zone)
         if held is None or held.part.epoch != record.epoch:
             held = OwnedPartition(
-                Partition(zone, record.epoch, self.deployment.workers.lease_s, now, self._image_of), self.tuning
+                Partition(zone, record.epoch, self.deployment.workers.lease_s, now, self._image_of),
+                self.tuning,
+                SILENT_REPORTS * self.deployment.workers.report_s,
             )
-            held.placer.silent_s = SILENT_REPORTS * self.deployment.workers.report_s
             held.part.cancelled_ago = self._permissions.cancelled_ago
             self.held[zone] = held
         return held
@@ -162,7 +164,7 @@
         Every part works in a task of its own, so that none waits in line behind another's transactions.
         """
         while True:
-            await curio.ignore_after(TICK_S, self._bell.wait)
+            await self._bell.wait()
             self._bell.clear()
             if self.replica.loaded:
                 await self._look_around(time.monotonic())
@@ -182,14 +184,14 @@
                     held.working = True
                     await curio.spawn(self._run_part, held, daemon=True)
                     await curio.spawn(self._run_commands, held, daemon=True)
-                if held.dirty:
+                if held.dirty or now >= held.next_tick:
                     await held.bell.set()
 
     async def _run_part(self, held: OwnedPartition) -> None:
         """Rounds of one part, as long as it is held: on news, and every now and then."""
         zone = held.part.zone
         while self.held.get(zone) is held and self._permissions.owns(held.part):
-            await curio.ignore_after(TICK_S, held.bell.wait)
+            await held.bell.wait()
             held.bell.clear()
             try:
                 await self._prepare(held)
@@ -200,7 +202,7 @@
             except Exception:  # a failure in one round must not end the controller
                 log.exception("round of part %s failed", zone)
                 await curio.sleep(TICK_S)
-            await curio.sleep(PAUSE_S)
+            await curio.sleep(self._lag.pause_s(PAUSE_S))
 
     async def _run_commands(self, held: OwnedPartition) -> None:
         """Stops and starts go out while transactions wait in line.
@@ -271,11 +273,9 @@
         part.now = now
         changes = part.ends(state, self._gather_s())
         if part.free:
-            deadline = now + self.tuning.budget_ms / 1000
+            budget = self._round_budget()
             held.placer.scarce = self.replica.store.write_level() < SCARCE_LEVEL
-            placed = held.placer.run(
-                part, self.view, now, lambda: time.monotonic() > deadline, MOST_PLACED, time.time()
-            )
+            placed = held.placer.run(part, self.view, now, budget.spent, MOST_PLACED, time.time())
             if self._permissions.fresh(now):
                 for run in placed.preempt:
                     log.info("preempting %s/%d on %s", *run.key, run.machine)
@@ -289,6 +289,9 @@
         await self._send(held)
         await self.returns.return_idle(held, now)
 
+    def _round_budget(self) -> RoundBudget:
+        return RoundBudget(self.tuning.budget_ms / 1000, self.deployment.limits.cpu)
+
     def _gather_s(self) -> float:
         """How long ends are gathered: not at all while changes are to be had, longer the scarcer they are."""
         level = self.replica.store.write_level()
@@ -302,14 +305,15 @@
         if part.free:
             for machine in part.machines.values():
                 machine.emptying = False
-        if now < held.next_search:
+        if now < held.next_search or (self._lag.late and now < held.next_search + SEARCH_PUT_OFF_S):
             return
         first = held.next_search == 0.0
         held.next_search = now + self.tuning.round_s
         if first or not self._permissions.fresh(now):
             return
-        deadline = time.monotonic() + self.tuning.budget_ms / 1000
-        result = refine(part, self.view, self.tuning, now, self._random, lambda: time.monotonic() > deadline)
+        from spurarch.coordination.local_search import refine  # not needed to answer workers after a restart
+
+        result = refine(part, self.view, self.tuning, now, self._random, self._round_budget().spent)
         if result.empty is not None:
             log.info("emptying %s", result.empty)
             part.machines[result.empty].emptying = True
@@ -394,7 +398,7 @@
         pending: Iterable[AllocationKey],
     ) -> dict[Urgency, list[_Change]]:
         out: dict[Urgency, list[_Change]] = {Urgency.REPLICAS: [_Change(write) for write in extra], Urgency.STARTS: []}
-        cleaning = part.left_over(self.replica.state)
+        cleaning = dict.fromkeys(part.left_over(self.replica.state))
         out[Urgency.ENDS] = [_Change(Write(str(where), None), where) for where in cleaning]
         for where, entries in changes.items():
             if where in cleaning or where in pending:
@@ -434,7 +438,7 @@
         if record is None:
             return []
         if change.entries is None:
-            over = change.where in part.left_over(self.replica.state)
+            over = part.is_left_over(self.replica.state, change.where)
             return [change.write] if change.write is not None and over else []
         new = merged(record, change.entries, is_live_gang(self.replica.state, change.where.job))
         if new is None:
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -60,11 +60,13 @@
 class Placer:
     """Places the free tasks of one part. Remembers only since when a task has waited and whom it waits for."""
 
-    def __init__(self, longest_wait_s: float = float("inf"), guarantee_wait_s: float = 0.0) -> None:
+    def __init__(
+        self, longest_wait_s: float = float("inf"), guarantee_wait_s: float = 0.0, silent_s: float = float("inf")
+    ) -> None:
         self.longest_wait_s, self.guarantee_wait_s = longest_wait_s, guarantee_wait_s
+        self.silent_s = silent_s  # a machine not heard for longer takes no tasks
         self.pending: dict[AllocationKey, dict[int, TaskEntry]] = {}  # changes that are under way
         self.scarce = False  # changes are short
-        self.silent_s = float("inf")  # a machine not heard for longer takes no tasks
         self._since: dict[tuple[str, int], float] = {}
         self._allocations: dict[AllocationKey, float] = {}
         self._claims: dict[tuple[str, int], tuple[float, int]] = {}  # until when, on which machine
@@ -298,19 +300,36 @@
             self._full.append(job.need)
         if self._starving(job):
             self._gather(job)
-        guaranteed = job.ref in self.view.guaranteed()
-        lower = self._lower(job.need.priority)
+        self._keep_waiting(where, job, left)
+
+    def _keep_waiting(self, where: AllocationKey, job: JobView, left: list[TaskEntry]) -> None:
+        """Tasks without room: some get room that others leave, some go back, and the rest waits.
+
+        Hundreds of tasks may wait for many rounds, so what is the same for all of them is asked once.
+        """
+        ref, now, patience = job.ref, self.now, self._patience()
+        guaranteed = ref in self.view.guaranteed()
+        lower, elsewhere = self._lower(job.need.priority), True
+        may_be_stuck = self._stuck(float("-inf"))
         for entry in left:
-            key = where.job, entry.index
+            key = ref, entry.index
             self.waiting.add(key)
-            since = self.placer.since(key, self.now)
-            if self._await_claim(where, job, entry):
+            since = self.placer.since(key, now)
+            waited_s = now - since
+            if self.placer.has_claim(key) and self._await_claim(where, job, entry):
                 continue
             if lower and self._make_room_anywhere(key, job.need):
                 continue
-            if guaranteed and self.now - since > self.placer.guarantee_wait_s and self._take_back(key, job):
+            lower = False  # what found nobody to stop once finds nobody in the rest of the round
+            if guaranteed and waited_s > self.placer.guarantee_wait_s and self._take_back(key, job):
                 continue
-            if self.now - since > self._patience() and (self._stuck(since) or self._better_elsewhere(job)):
+            if waited_s <= patience:
+                continue
+            if may_be_stuck and self._stuck(since):
+                self._give_back(where, entry)
+                continue
+            elsewhere = elsewhere and self._better_elsewhere(job)  # places there only get fewer
+            if elsewhere:
                 self._give_back(where, entry)
 
     def _lower(self, priority: int) -> bool:
--- a/spurarch/protocol/wire.py
+++ b/spurarch/protocol/wire.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+from functools import lru_cache
 from typing import Annotated, Any, TypeVar
 
 import msgspec
@@ -297,11 +298,15 @@
     return "&".join(f"{names[k]}={v}" for k, v in fields.items() if v is not None)
 
 
+TASK_NAMES_KEPT = 16_384  # split once: every report names all tasks of a machine
+
+
 def task_name(job: str, index: int) -> str:
     """Name of a task."""
     return f"{job}/{index}"
 
 
+@lru_cache(TASK_NAMES_KEPT)
 def split_task(name: str) -> tuple[str, int] | None:
     """Job and index of a task's name, or None if it isn't one."""
     job, slash, index = name.rpartition("/")
--- a/spurarch/settings.py
+++ b/spurarch/settings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import tomllib
-from pathlib import Path
 from typing import Annotated, Any
 
 import msgspec
@@ -110,12 +109,27 @@
     list_lag_s: NotNegative
 
 
+# Below the first, a controller can't work at all; below the second, it serves, though not as it should.
+PROCESSOR_LEAST, PROCESSOR_SCARCE = 0.02, 0.1  # of a core: an idle controller takes about 0.02
+MEMORY_LEAST_MB, MEMORY_SCARCE_MB = 20.0, 64.0  # started, a controller holds 16 MB; 680 machines took up to 44
+SOCKETS_LEAST, SOCKETS_SCARCE = 32, 256
+
+
 class Limits(Struct):
     """What one controller may use."""
 
-    cpu: Positive = 1.0
-    memory_mb: Positive = field(name="mem_mb", default=256.0)
-    sockets: Annotated[int, Meta(ge=32)] = field(name="fd_limit", default=1024)
+    cpu: Annotated[float, Meta(ge=PROCESSOR_LEAST)] = 1.0
+    memory_mb: Annotated[float, Meta(ge=MEMORY_LEAST_MB)] = field(name="mem_mb", default=256.0)
+    sockets: Annotated[int, Meta(ge=SOCKETS_LEAST)] = field(name="fd_limit", default=1024)
+
+    def scarce(self) -> list[str]:
+        """The fields that allow a controller to run, but less well than it should, each with the least it should have."""
+        wanted = {
+            "cpu": (self.cpu, PROCESSOR_SCARCE),
+            "mem_mb": (self.memory_mb, MEMORY_SCARCE_MB),
+            "fd_limit": (self.sockets, SOCKETS_SCARCE),
+        }
+        return [f"{name} = {value:g}, below {least:g}" for name, (value, least) in wanted.items() if value < least]
 
 
 class Deployment(Struct):
@@ -188,6 +202,11 @@
     seed: int = 1
 
 
+def _read(path: str) -> str:
+    with open(path, encoding="utf-8") as file:
+        return file.read()
+
+
 def _convert(data: object, kind: Any, source: str) -> Any:
     try:
         return msgspec.convert(data, kind, strict=kind is not Tuning)
@@ -200,7 +219,7 @@
 def load_platform(path: str) -> Platform:
     """Reads and checks the platform's file."""
     try:
-        data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        data = tomllib.loads(_read(path))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as err:
         raise SettingsError(f"{path}: {getattr(err, 'strerror', None) or err}") from None
     platform: Platform = _convert(data, Platform, path)
@@ -220,7 +239,7 @@
     import sexpdata  # a controller without such a file need not load it
 
     try:
-        data = sexpdata.loads(Path(path).read_text(encoding="utf-8"))
+        data = sexpdata.loads(_read(path))
     except OSError as err:
         raise SettingsError(f"{path}: {err.strerror}") from None
     except Exception as err:  # the parser raises many kinds
--- a/spurarch/storage/records.py
+++ b/spurarch/storage/records.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from math import ceil
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 from msgspec import Struct
@@ -160,8 +159,7 @@
     return _CHANGE_BYTES + (_ENTRY_BYTES * len(record.tasks) if isinstance(record, AllocationRecord) else 0)
 
 
-@dataclass(slots=True, frozen=True)
-class AllocationKey:
+class AllocationKey(NamedTuple):
     """Where an allocation belongs."""
 
     zone: str
--- a/spurarch/transport/frames.py
+++ b/spurarch/transport/frames.py
@@ -8,7 +8,7 @@
 
 from spurarch.transport import sockets
 
-MAX_FRAME = 256 * 1024
+MAX_FRAME = 1024 * 1024  # bytes: peers tell each other of every cancelled job that is not over
 IDLE_S = 60.0
 
 
--- a/spurarch/transport/http.py
+++ b/spurarch/transport/http.py
@@ -1,47 +1,34 @@
-"""HTTP/1.1 over curio sockets: one server loop and one pooled client, both driven by h11."""
+"""HTTP/1.1 over curio sockets: one server loop and one pooled client."""
 
 from __future__ import annotations
 
 import logging
 import time
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
-from functools import lru_cache
 
 import curio
-import h11
 
 from spurarch.transport import sockets
+from spurarch.transport.http_messages import (
+    CONTINUE,
+    Handler,
+    MessageError,
+    Request,
+    RequestParser,
+    Response,
+    ResponseParser,
+    error_response,
+    render_request,
+    render_response,
+)
+
+__all__ = ["Handler", "HttpClient", "HttpServer", "NoAnswerError", "Request", "Response"]
 
 log = logging.getLogger(__name__)
 
-MAX_BODY = 64 * 1024
-MAX_HEAD = 16 * 1024
-READ_SIZE = 16384  # no more than a head may hold, so that h11 sees a long one as incomplete
+READ_SIZE = 16384
 IDLE_SERVER_S = 120.0
 SLOW_REQUEST_S = 10.0
-HEADS_KEPT = 2000
-
-
-@dataclass(slots=True)
-class Request:
-    """A request as the server read it."""
-
-    method: str
-    target: str
-    body: bytes
-
-
-@dataclass(slots=True)
-class Response:
-    """What a handler answers: a JSON body and any extra headers."""
-
-    status: int
-    body: bytes = b"{}"
-    headers: list[tuple[str, str]] = field(default_factory=list)
-
-
-Handler = Callable[[Request], Awaitable[Response]]
+SWEEP_S = 1.0
 
 
 class NoAnswerError(Exception):
@@ -52,104 +39,107 @@
         self.sent = sent
 
 
-def _error(status: int, message: str) -> Response:
-    return Response(status, b'{"error":"%s"}' % message.encode())
+class _ServerLink:
+    """One connection of the server, and until when its client may take to send more."""
+
+    __slots__ = ("idle", "parser", "read_by", "sock", "task")
+
+    def __init__(self, sock: curio.io.Socket, task: curio.Task) -> None:
+        self.sock, self.task = sock, task
+        self.parser = RequestParser()
+        self.idle = False  # it has been answered, and nothing more has come
+        self.read_by = float("inf")
 
 
 class HttpServer:
-    """Serves one address. Connections over the bound are closed at once, so sockets stay under the limit."""
+    """Serves one address.
+
+    With more clients than connections, the one that has been idle for longest gives way to a new one, so that none is
+    shut out: a fleet may have more workers than a controller has sockets.
+    """
 
     def __init__(self, address: str, handler: Handler, max_connections: int) -> None:
         self._address = sockets.split_address(address)
         self._handler = handler
         self._max = max_connections
+        self._links: dict[_ServerLink, None] = {}  # in the order of their latest requests
 
     async def run(self) -> None:
         """Accepts connections until cancelled."""
-        await sockets.serve(self._address, self._converse, self._max)
+        await curio.spawn(self._end_slow, daemon=True)
+        await sockets.serve(self._address, self._converse, self._max, self._end_idlest)
 
-    async def _converse(self, sock: curio.io.Socket) -> None:
-        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
-        while True:
-            try:
-                request = await self._read(conn, sock)
-            except h11.RemoteProtocolError as err:
-                await self._refuse(conn, sock, _error(err.error_status_hint, "malformed request"))
-                return
-            if request is None:
+    async def _end_idlest(self) -> None:
+        for link in self._links:
+            if link.idle:
+                await link.task.cancel()
                 return
-            if isinstance(request, Response):
-                await self._refuse(conn, sock, request)
-                return
-            try:
-                response = await self._handler(request)
-            except curio.CancelledError:
-                raise
-            except Exception:  # an unexpected error must not end the controller
-                log.exception("request failed: %s %s", request.method, request.target)
-                response = _error(500, "internal error")
-            await sock.sendall(_render(conn, response, False))
-            if conn.our_state is h11.MUST_CLOSE:
-                return
-            conn.start_next_cycle()
 
-    async def _read(self, conn: h11.Connection, sock: curio.io.Socket) -> Request | Response | None:
-        head: h11.Request | None = None
-        parts: list[bytes] = []
-        size = 0
-        started = time.monotonic()
+    async def _end_slow(self) -> None:
+        """Ends connections whose clients are late. One timer for all: a limit on each wait costs more than the wait."""
         while True:
-            event = conn.next_event()
-            if event is h11.NEED_DATA:
-                if conn.they_are_waiting_for_100_continue:
-                    await sock.sendall(conn.send(h11.InformationalResponse(status_code=100, headers=[])))
-                limit = IDLE_SERVER_S
-                if head is not None or conn.trailing_data[0]:
-                    limit = max(0.1, started + SLOW_REQUEST_S - time.monotonic())
-                data = await curio.timeout_after(limit, sock.recv, READ_SIZE)
-                if head is None and not parts:
-                    started = time.monotonic()
-                conn.receive_data(data)
-            elif isinstance(event, h11.Request):
-                head = event
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > MAX_BODY:
-                    return _error(413, "body too large")
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return Request(head.method.decode("ascii"), head.target.decode("latin-1"), b"".join(parts))
-            else:
-                return None
-
-    @staticmethod
-    async def _refuse(conn: h11.Connection, sock: curio.io.Socket, response: Response) -> None:
-        if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            await sock.sendall(_render(conn, response, True))
-
-
-@lru_cache(HEADS_KEPT)
-def _response_head(status: int, length: int, headers: tuple[tuple[str, str], ...]) -> h11.Response:
-    """The head of a response. Most are like one before, and to check the headers costs more than to send them."""
-    fixed = [("Content-Type", "application/json"), ("Content-Length", str(length))]
-    return h11.Response(status_code=status, headers=[*fixed, *headers])
+            await curio.sleep(SWEEP_S)
+            now = time.monotonic()
+            for link in [link for link in self._links if link.read_by < now]:
+                await link.task.cancel(blocking=False)
 
+    async def _converse(self, sock: curio.io.Socket) -> None:
+        link = _ServerLink(sock, await curio.current_task())
+        self._links[link] = None
+        try:
+            while (request := await self._read(link)) is not None:
+                response = await self._handle(request)
+                await sock.sendall(render_response(response, link.parser.closing, request.method == "HEAD"))
+                if link.parser.closing:
+                    return
+                link.idle = True
+                self._links[link] = self._links.pop(link)
+        except MessageError as err:
+            await sock.sendall(render_response(err.response, close=True))
+        finally:
+            del self._links[link]
 
-def _render(conn: h11.Connection, response: Response, close: bool) -> bytes:
-    headers = (*response.headers, ("Connection", "close")) if close else tuple(response.headers)
-    out = conn.send(_response_head(response.status, len(response.body), headers)) or b""
-    out += conn.send(h11.Data(data=response.body)) or b""
-    return out + (conn.send(h11.EndOfMessage()) or b"")
+    async def _handle(self, request: Request) -> Response:
+        try:
+            return await self._handler(request)
+        except curio.CancelledError:
+            raise
+        except Exception:  # an unexpected error must not end the controller
+            log.exception("request failed: %s %s", request.method, request.target)
+            return error_response(500, "internal error")
+
+    async def _read(self, link: _ServerLink) -> Request | None:
+        """The next request, or None if the client has closed the connection."""
+        parser, sock = link.parser, link.sock
+        request = parser.next_request()
+        if request is not None:
+            link.idle = False
+            return request
+        link.read_by = time.monotonic() + IDLE_SERVER_S
+        data = await sock.recv(READ_SIZE)
+        link.idle = False
+        link.read_by = time.monotonic() + SLOW_REQUEST_S
+        while data:
+            parser.feed(data)
+            request = parser.next_request()
+            if request is not None:
+                link.read_by = float("inf")
+                return request
+            if parser.wants_continue():
+                await sock.sendall(CONTINUE)
+            data = await sock.recv(READ_SIZE)
+        if parser.started:
+            raise MessageError(400, "incomplete request")
+        return None
 
 
 class _Pooled:
     """One kept connection of a client."""
 
-    __slots__ = ("conn", "idle_since", "sock")
+    __slots__ = ("idle_since", "sock")
 
     def __init__(self, sock: curio.io.Socket) -> None:
         self.sock = sock
-        self.conn = h11.Connection(h11.CLIENT)
         self.idle_since = 0.0
 
 
@@ -167,28 +157,30 @@
 
     async def request(self, method: str, target: str, body: bytes | None, timeout_s: float) -> tuple[int, bytes]:
         """Sends one request and returns status and body, or raises NoAnswerError."""
+        try:
+            message = render_request(method, self._host, target, body)
+        except ValueError as err:
+            raise NoAnswerError(str(err), False) from None
         state = [False]
         try:
             async with curio.timeout_after(timeout_s), self._slots:
-                return await self._exchange(method, target, body, state)
+                return await self._exchange(message, state)
         except curio.TaskTimeout:
             raise NoAnswerError("timed out", state[0]) from None
-        except (OSError, h11.ProtocolError) as err:
+        except OSError as err:
             raise NoAnswerError(repr(err), state[0]) from None
 
-    async def _exchange(self, method: str, target: str, body: bytes | None, state: list[bool]) -> tuple[int, bytes]:
+    async def _exchange(self, message: bytes, state: list[bool]) -> tuple[int, bytes]:
         link = await self._take()
-        keep = False
+        parser = ResponseParser()
         try:
             state[0] = True
-            await link.sock.sendall(self._encode(link.conn, method, target, body))
-            status, answer = await self._answer(link)
-            if link.conn.our_state is h11.DONE and link.conn.their_state is h11.DONE:
-                link.conn.start_next_cycle()
-                keep = True
-            return status, answer
+            await link.sock.sendall(message)
+            while not parser.complete:
+                parser.feed(await link.sock.recv(READ_SIZE))
+            return parser.status, parser.body
         finally:
-            if keep:
+            if parser.keep_alive:
                 link.idle_since = time.monotonic()
                 self._idle.append(link)
             else:
@@ -202,28 +194,3 @@
                 return link
             await link.sock.close()
         return _Pooled(await sockets.connect(self._address, self._connect_s))
-
-    def _encode(self, conn: h11.Connection, method: str, target: str, body: bytes | None) -> bytes:
-        headers = [("Host", self._host)]
-        if body is not None:
-            headers += [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-        out = conn.send(h11.Request(method=method, target=target, headers=headers)) or b""
-        if body:
-            out += conn.send(h11.Data(data=body)) or b""
-        return out + (conn.send(h11.EndOfMessage()) or b"")
-
-    @staticmethod
-    async def _answer(link: _Pooled) -> tuple[int, bytes]:
-        status, parts = 0, []
-        while True:
-            event = link.conn.next_event()
-            if event is h11.NEED_DATA:
-                link.conn.receive_data(await link.sock.recv(READ_SIZE))
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-            elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return status, b"".join(parts)
-            elif isinstance(event, h11.ConnectionClosed):
-                raise ConnectionResetError("closed before the answer")
--- a/spurarch/transport/sockets.py
+++ b/spurarch/transport/sockets.py
@@ -11,7 +11,7 @@
 log = logging.getLogger(__name__)
 
 ACCEPT_PAUSE_S = 0.05
-BACKLOG = 2048  # all workers of a fleet may come back in the same second
+BACKLOG = 8192  # all workers of a fleet may come back in the same second; the system may allow fewer
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -34,11 +34,21 @@
     return sock
 
 
-async def serve(address: tuple[str, int], client: Callable[[curio.io.Socket], Awaitable[None]], max_open: int) -> None:
+async def _no_room() -> None:
+    """Closes no connection for a new one."""
+
+
+async def serve(
+    address: tuple[str, int],
+    client: Callable[[curio.io.Socket], Awaitable[None]],
+    max_open: int,
+    make_room: Callable[[], Awaitable[None]] = _no_room,
+) -> None:
     """Accepts connections until cancelled, a task for each.
 
     Running out of sockets only pauses the accepting: curio's own server would end there, and with it the
-    controller. Connections over the bound are closed at once, so that the rest of the process has sockets left.
+    controller. At the bound `make_room` may close a connection that nobody waits for; a new one for which there is
+    still no room is closed at once, so that the rest of the process has sockets left.
     """
     listener = curio.io.Socket(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -68,6 +78,8 @@
             log.warning("accept failed: %s", err)
             await curio.sleep(ACCEPT_PAUSE_S)
             continue
+        if open_now >= max_open:
+            await make_room()
         if open_now >= max_open:
             await sock.close()
             continue
--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -49,6 +49,10 @@
 
     broken: list[str] = field(default_factory=list)
     started: int = 0
+    starts: dict[str, int] = field(default_factory=dict)  # by task
+    lost_with_lease: dict[str, int] = field(
+        default_factory=dict
+    )  # by task: workers that forgot it as their lease ended
 
 
 class World:
@@ -99,6 +103,7 @@
     def check_start(self, worker: Worker, task: SimTask) -> None:
         """The rules at the moment when a task starts."""
         self.rules.started += 1
+        self.rules.starts[task.name] = self.rules.starts.get(task.name, 0) + 1
         job = task.name.split("/")[0]
         spec = self.jobs[job]
         self.began.setdefault(job, self.clock.now)
@@ -245,6 +250,9 @@
         if not self.up or now < self.hang_until:
             return
         if now - self.renewed > self.world.lease_s:
+            lost = self.world.rules.lost_with_lease
+            for task in self.tasks.values():
+                lost[task.name] = lost.get(task.name, 0) + 1
             self.tasks.clear()
             self.session += 1
             self.renewed, self.news = now, True
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -529,6 +529,9 @@
             return bool(self.cloud.machines[args[0]]["gone"]) == (kind == "gone")
         if kind == "started":
             return self.world.rules.started <= int(args[0])
+        if kind == "started-once":  # each task, and once more for each worker that forgot it as its lease ended
+            rules = self.world.rules
+            return all(n <= 1 + rules.lost_with_lease.get(name, 0) for name, n in rules.starts.items())
         if kind == "empty":  # empty PREFIX: no key with it is left in the state service
             return not [key for key in self.store.keys if key.startswith(args[0])]
         raise ValueError(f"unknown expectation: {words}")
--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -80,6 +80,7 @@
     assert leader._dirty
 
     async def play() -> None:
+        await leader._bell.set()  # as the controller's beat does
         await curio.ignore_after(2.0, leader.run)
 
     Clock().run(play)
--- a/tests/test_requests_and_settings.py
+++ b/tests/test_requests_and_settings.py
@@ -160,6 +160,27 @@
     assert error.count("\n") == 1
 
 
+@pytest.mark.parametrize("field", ["cpu = 0.01", "mem_mb = 12.0", "fd_limit = 20"])
+def test_a_machine_that_is_too_small_is_refused_by_its_field(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], field: str
+) -> None:
+    path = tmp_path / "p.toml"
+    path.write_text(f"{PLATFORM}[deployment.limits]\n{field}\n")
+    assert cli.main(["check", "--config", str(path)]) == 2
+    error = capsys.readouterr().err
+    assert f"deployment.limits.{field.split()[0]}" in error
+    assert error.count("\n") == 1
+
+
+def test_a_machine_that_is_scarce_is_named_and_serves(tmp_path: Path) -> None:
+    path = tmp_path / "p.toml"
+    path.write_text(f"{PLATFORM}[deployment.limits]\ncpu = 0.05\nmem_mb = 32.0\nfd_limit = 100\n")
+    limits = load_platform(str(path)).deployment.limits
+    assert limits.scarce() == ["cpu = 0.05, below 0.1", "mem_mb = 32, below 64", "fd_limit = 100, below 256"]
+    path.write_text(PLATFORM)
+    assert load_platform(str(path)).deployment.limits.scarce() == []
+
+
 @pytest.mark.parametrize(
     ("text", "word"),
     [("((round-s 0))", "round-s"), ("((nothing 1))", "nothing"), ("((round-s 1) (round-s 2))", "stands twice"),
--- /dev/null
+++ b/tests/test_round_budget.py
@@ -0,0 +1,62 @@
+"""Rounds of decisions on a small share of a processor."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from spurarch.coordination import round_budget
+from spurarch.coordination.loop_lag import LONGEST_PAUSE_S, LoopLag
+from spurarch.coordination.round_budget import RoundBudget, rest_s
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> list[float]:
+    """The time, in a list of one."""
+    now = [100.0]
+    monkeypatch.setattr(time, "monotonic", lambda: now[0])
+    return now
+
+
+def test_what_comes_before_the_first_decision_is_not_counted(clock: list[float]) -> None:
+    budget = RoundBudget(0.025, 0.25)
+    clock[0] += 60.0
+    assert not budget.spent()
+    clock[0] += 0.09
+    assert not budget.spent()
+    clock[0] += 0.02
+    assert budget.spent()
+
+
+@pytest.mark.parametrize(("share", "span_s"), [(4.0, 0.025), (1.0, 0.025), (0.5, 0.05), (0.1, round_budget.LONGEST_S)])
+def test_a_budget_is_processor_time_and_never_holds_others_up_for_long(
+    clock: list[float], share: float, span_s: float
+) -> None:
+    budget = RoundBudget(0.025, share)
+    assert not budget.spent()
+    clock[0] += span_s - 0.001
+    assert not budget.spent()
+    clock[0] += 0.002
+    assert budget.spent()
+
+
+def test_the_rest_after_a_round_goes_by_its_processor_time() -> None:
+    assert rest_s(0.1, 1.0, 8.0, 0.05) == pytest.approx(0.8)
+    assert rest_s(0.1, 0.25, 8.0, 0.05) == pytest.approx(0.2)
+    assert rest_s(0.001, 0.25, 8.0, 0.05) == 0.05
+
+
+def test_a_late_loop_gathers_more_news_for_a_round_but_not_for_ever() -> None:
+    lag = LoopLag()
+    assert lag.pause_s(0.03) == 0.03
+    lag.note(0.1)
+    assert not lag.late
+    assert lag.pause_s(0.03) == 0.1
+    lag.note(5.0)
+    assert lag.late
+    assert lag.pause_s(0.03) == LONGEST_PAUSE_S
+    for _ in range(20):
+        lag.note(0.0)  # what was late for once is forgotten soon
+    assert not lag.late
+    assert lag.pause_s(0.03) == 0.03
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import curio
@@ -11,8 +11,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from spurarch.coordination import best_fit as best_fit_module
 from spurarch.coordination.admission import Admission
-from spurarch.coordination.best_fit import Draft, Need, Room, best_fit, fill
+from spurarch.coordination.best_fit import Draft, Need, Room, best_fit, fill, fitting
 from spurarch.coordination.machine import Phase
 from spurarch.coordination.membership import rate_shares
 from spurarch.coordination.partition import Partition, merged
@@ -111,18 +112,27 @@
     assert costs[0] == costs[1]
 
 
-def test_like_jobs_without_room_are_looked_at_once() -> None:
+def test_like_jobs_without_room_are_looked_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """The second of twenty waiting jobs of like tasks learns from the first that no machine has room."""
-    costs = []
+    looks, costs = [0], []
+
+    def counted(need: Need, rooms: Iterable[Room]) -> list[Room]:
+        rooms = list(rooms)
+        looks[-1] += len(rooms)
+        return fitting(need, rooms)
+
+    monkeypatch.setattr(best_fit_module, "fitting", counted)
     for jobs in (1, 20):
         fleet = Fleet(300)
         for room in fleet.view.rooms.values():
             room.free_cpus = 0.5
         for i in range(jobs):
-            fleet.put(f"{records.JOB}job-9{i}", JobRecord(submission(f"job-9{i}", 100), 1.0))
+            fleet.put(f"{records.JOB}job-{1000 + i}", JobRecord(submission(f"job-{1000 + i}", 100), 1.0))
         fleet.view.update()
+        looks.append(0)
         costs.append(calls(lambda v=fleet.view: Admission(v, 2.0).run(None, lambda: False, 24)))  # type: ignore[misc]
-    assert (costs[1] - costs[0]) / 19 < 300  # less than one look at each machine
+    assert (costs[1] - costs[0]) / 19 < 300
+    assert 0 < looks[2] == looks[1]  # no further look at any machine
 
 
 def test_like_replicas_without_room_ask_once_whom_to_stop(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -186,6 +196,30 @@
     assert len(seen) == 4
 
 
+def test_a_report_is_occasion_for_a_round_only_if_a_task_left_or_a_machine_became_known() -> None:
+    """While ends waited to be gathered, every report of any machine led to a round: 25 a second in a large partition."""
+    fleet = Fleet(3)
+    token = fleet.part.token(fleet.part.machines["vm-1"])
+    before = fleet.part.occasions
+    fleet.report(1, 3, token)
+    assert fleet.part.occasions == before
+    ended = fleet.wire_report(1, 4, token)
+    ended.tasks[0] = wire.TaskReport("job-1/0", 1, "ended", "done")
+    fleet.part.on_report(ended, 2.0)
+    assert fleet.part.occasions == before + 1
+    fleet.part.on_report(wire.Report("vm-1", "10.1.0.1:9000", "big", "a", 1, 5, token, ended.tasks), 2.1)
+    fleet.report(2, 3, fleet.part.token(fleet.part.machines["vm-2"]))
+    assert fleet.part.over
+    assert fleet.part.occasions == before + 1
+    fresh = wire.Report("vm-9", "10.1.0.9:9000", "big", "a", 1, 1, 0, [])
+    fleet.part.on_report(fresh, 2.2)
+    fleet.part.on_report(wire.Report("vm-9", "10.1.0.9:9000", "big", "a", 1, 2, fleet.part.base + 99, []), 2.3)
+    assert fleet.part.occasions == before + 1  # a token that it was never given
+    shown = fleet.part.token(fleet.part.machines["vm-9"])
+    fleet.part.on_report(wire.Report("vm-9", "10.1.0.9:9000", "big", "a", 1, 3, shown, []), 2.4)
+    assert fleet.part.occasions == before + 2
+
+
 def room(index: int, cpus: float, free: float, images: frozenset[int]) -> Room:
     return Room(index, 0, 0, False, cpus, 0.0, 256.0, free, 0.0, 256.0, set(images))
 
@@ -193,6 +227,41 @@
 ROOMS = st.lists(st.tuples(st.sampled_from([4, 8, 32]), st.integers(0, 32), st.booleans()), max_size=10)
 
 
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.integers(0, 2), st.booleans(), st.integers(0, 8), st.integers(0, 8)), max_size=8
+    ),
+    st.tuples(st.sampled_from([None, frozenset([1])]), st.sampled_from([None, frozenset([0, 2])]), st.booleans()),
+)
+def test_the_machines_that_fit_are_those_that_say_so(
+    kinds: list[tuple[int, int, bool, int, int]], wish: tuple[frozenset[int] | None, frozenset[int] | None, bool]
+) -> None:
+    types, zones, spot = wish
+    need = Need(4.0, 0.0, 4.0, types, spot, 0, 1, zones)
+    rooms = [
+        Room(index, zone, kind, lent, 8.0, 0.0, 8.0, float(cpus), 0.0, float(memory))
+        for index, (zone, kind, lent, cpus, memory) in enumerate(kinds)
+    ]
+    assert fitting(need, rooms) == [room for room in rooms if room.fits(need)]
+
+
+def test_a_waiting_task_of_a_large_array_costs_little() -> None:
+    """What is the same for all tasks of an array is asked once, however many of them wait."""
+    costs = []
+    for tasks in (100, 1100):
+        fleet = Fleet(20)
+        for room in fleet.view.rooms.values():
+            room.free_cpus = 0.5
+        fleet.put(f"{records.JOB}job-99", JobRecord(submission("job-99", tasks), 1.0))
+        key = str(AllocationKey("a", "job-99", 0))
+        fleet.put(key, AllocationRecord([TaskEntry(index) for index in range(tasks)]))
+        fleet.news([key])
+        placer = Placer()
+        placer.run(fleet.part, fleet.view, 1.0, lambda: False, 200)
+        costs.append(calls(lambda f=fleet, p=placer: p.run(f.part, f.view, 9.0, lambda: False, 200)))  # type: ignore[misc]
+    assert (costs[1] - costs[0]) / 1000 <= 6
+
+
 @given(ROOMS, st.integers(1, 5), st.integers(1, 40))
 def test_a_group_goes_where_best_fit_would_put_one_after_another(
     machines: list[tuple[int, int, bool]], cpus: int, count: int
--- /dev/null
+++ b/tests/test_start_up.py
@@ -0,0 +1,102 @@
+"""A controller that starts again answers workers before their leases run out: it loads little before that."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+
+# What curio, the command line and the platform's file could bring in, and what only rounds need.
+UNUSED = {
+    "argparse", "asyncio", "multiprocessing", "ssl", "subprocess", "concurrent.futures", "secrets", "pathlib",
+    "curio.workers.run_in_thread", "curio.channel", "curio.network", "sexpdata",
+    "spurarch.coordination.leader", "spurarch.coordination.admission", "spurarch.coordination.placing",
+    "spurarch.coordination.local_search", "spurarch.coordination.tabu", "spurarch.coordination.provisioning",
+}  # fmt: skip
+MOST_MODULES = 170
+
+# Starts a controller over a state service in which it owns a partition, and reports to it as a worker does.
+SCRIPT = """
+import json, sys
+sys.path[:0] = json.loads(sys.argv[1])
+before = set(sys.modules)
+from spurarch import cli
+Controller = cli.load_controller()
+import curio
+from spurarch.settings import Tuning, load_platform
+from spurarch.transport.http import Request, Response
+
+REPORT = {"croft": "vm-1", "addr": "10.1.0.1:9000", "build": "small", "district": "a", "lendable": False,
+          "tenure": 1, "tally": 1, "baton": 0, "legs": []}
+PART = {"key": "live/part/a", "value": {"node": "n0", "epoch": 4, "boot": "earlier"}, "stamp": 7}
+
+
+class Client:
+    async def request(self, method, target, body, timeout_s):
+        if target.startswith("/kv?"):
+            items = [PART] if "part" in target else []
+            return 200, json.dumps({"items": items, "has_next": False, "ledger": 9}).encode()
+        if target == "/txn":
+            return 200, b'{"ledger": 10}'
+        await curio.sleep(60)
+
+
+class Server:
+    async def run(self):
+        await curio.sleep(60)
+
+
+class Network:
+    def client(self, *args): return Client()
+    def server(self, *args): return Server()
+    def back_client(self, *args): return Client()
+    def back_server(self, *args): return Server()
+
+
+async def main():
+    controller = Controller(load_platform(sys.argv[2]), Tuning(), Network())
+    service = await curio.spawn(controller.run, daemon=True)
+    loaded = None
+    while loaded is None:
+        answer = await controller.handle(Request("POST", "/agent/beat", json.dumps(REPORT).encode()))
+        if answer.status == 200:
+            loaded = sorted(set(sys.modules) - before)
+        await curio.sleep(0)
+    await service.cancel()
+    return loaded
+
+print(json.dumps(curio.run(main)))
+"""
+
+PLATFORM = """
+node = "n0"
+area = "a"
+public_addr = "127.0.0.1:1"
+back = "127.0.0.1:2"
+[external]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[deployment]
+zones = ["a"]
+teams = []
+workers = {report_s = 1.0, lease_s = 10.0, cancel_s = 30.0}
+state = {rps = 200.0, write_rps = 80.0, value_kb = 16.0, txn_ops = 24}
+cloud = {rps = 8.0, list_lag_s = 5.0}
+"""
+
+
+def test_nothing_is_loaded_that_the_first_answer_to_a_worker_does_not_need(tmp_path: Path) -> None:
+    platform = tmp_path / "platform.toml"
+    platform.write_text(PLATFORM)
+    paths = json.dumps([str(ROOT), *sys.path])
+    made = subprocess.run(
+        [sys.executable, "-S", "-E", "-c", SCRIPT, paths, str(platform)], capture_output=True, text=True, check=False
+    )
+    assert made.returncode == 0, made.stderr
+    loaded = set(json.loads(made.stdout))
+    assert "spurarch.coordination.partition_owner" in loaded
+    assert not UNUSED & loaded
+    assert len(loaded) <= MOST_MODULES
--- /dev/null
+++ b/tests/test_work_counts.py
@@ -0,0 +1,208 @@
+"""What a controller does when nothing happens, and what a report that shows nothing new leads to: counted, not timed."""
+
+from __future__ import annotations
+
+from urllib.parse import parse_qs, urlsplit
+
+import curio
+import msgspec
+import pytest
+
+from spurarch.coordination.controller import Controller
+from spurarch.coordination.partition_owner import PartitionOwner
+from spurarch.settings import CloudLimits, Deployment, External, Platform, StateLimits, Tuning, Workers
+from spurarch.transport import http
+from spurarch.transport.http import HttpServer, Request, Response
+from spurarch.transport.network import Network
+from tests.sim.clock import Clock
+
+ZONES = ["a", "b"]
+IDLE_S = 20.0
+
+
+class StandInStore:
+    """A state service that gives this controller two partitions and has no news."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.revision = 10
+
+    async def request(self, method: str, target: str, body: bytes | None, timeout_s: float) -> tuple[int, bytes]:
+        """Answers as the published protocol says."""
+        self.requests += 1
+        if target.startswith("/kv?"):
+            return 200, msgspec.json.encode({"items": self._items(target), "has_next": False, "ledger": 9})
+        if target == "/txn":
+            self.revision += 1
+            return 200, msgspec.json.encode({"ledger": self.revision})
+        if target.startswith("/grants"):
+            return 200, b'{"tether":7}'
+        if "wait_ms=0" not in target:
+            await curio.sleep(4.0)
+        return 200, msgspec.json.encode({"ledger": self.revision, "news": []})
+
+    @staticmethod
+    def _items(target: str) -> list[dict[str, object]]:
+        prefix = parse_qs(urlsplit(target).query)["prefix"][0]
+        if prefix not in ("live/", "live/part/"):
+            return []
+        part = {"node": "n0", "epoch": 4, "boot": "earlier"}
+        return [{"key": f"live/part/{zone}", "value": part, "stamp": 7} for zone in ZONES]
+
+
+class Silent:
+    """Serves nobody, and answers nobody."""
+
+    async def run(self) -> None:
+        """Waits."""
+        await curio.sleep(1e9)
+
+    async def request(self, method: str, target: str, body: bytes | None, timeout_s: float) -> tuple[int, bytes]:
+        """Never answers."""
+        await curio.sleep(1e9)
+        return 503, b""
+
+
+class StandInNetwork(Network):
+    """A state service, and otherwise silence."""
+
+    def __init__(self) -> None:
+        self.store = StandInStore()
+
+    def client(self, address: str, max_connections: int) -> StandInStore | Silent:
+        """The state service at its address."""
+        return self.store if address == "127.0.0.1:4" else Silent()
+
+    def server(self, *_: object) -> Silent:
+        """Nobody connects."""
+        return Silent()
+
+    def back_server(self, *_: object) -> Silent:
+        """No peer connects."""
+        return Silent()
+
+
+def platform() -> Platform:
+    """A controller without peers."""
+    deployment = Deployment(
+        ZONES, [], Workers(1.0, 10.0, 30.0), StateLimits(200.0, 80.0, 16.0, 24), CloudLimits(8.0, 5.0)
+    )
+    return Platform("n0", "a", "127.0.0.1:1", "127.0.0.1:2", External("127.0.0.1:3", "127.0.0.1:4"), deployment)
+
+
+def test_an_idle_controller_does_next_to_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    rounds = 0
+    work = PartitionOwner._work
+
+    async def counted(self: PartitionOwner, held: object) -> None:
+        nonlocal rounds
+        rounds += 1
+        await work(self, held)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(PartitionOwner, "_work", counted)
+    network, sleeps = StandInNetwork(), 0
+    sleep = curio.sleep
+
+    async def counted_sleep(seconds: float) -> float:
+        nonlocal sleeps
+        sleeps += 1
+        woke: float = await sleep(seconds)
+        return woke
+
+    async def main() -> None:
+        nonlocal rounds, sleeps
+        controller = Controller(platform(), Tuning(), network)
+        service = await curio.spawn(controller.run, daemon=True)
+        await sleep(3.0)
+        monkeypatch.setattr(curio, "sleep", counted_sleep)
+        rounds = sleeps = network.store.requests = 0
+        await sleep(IDLE_S)
+        monkeypatch.setattr(curio, "sleep", sleep)
+        await service.cancel()
+
+    Clock().run(main)
+    assert 0 < rounds <= 4.5 * IDLE_S * len(ZONES)  # rounds that only look at the time
+    assert 0 < sleeps <= 75 * IDLE_S
+    assert 0 < network.store.requests <= 4 * IDLE_S
+
+
+class StandInSocket:
+    """A connection whose client sends some bytes and then no more."""
+
+    def __init__(self, *pieces: bytes) -> None:
+        self.pieces, self.sent = list(pieces), b""
+
+    async def recv(self, size: int) -> bytes:
+        """The next piece, or none for ever."""
+        if not self.pieces:
+            await curio.sleep(1e9)
+        return self.pieces.pop(0)
+
+    async def sendall(self, data: bytes) -> None:
+        """Keeps what was sent."""
+        self.sent += data
+
+
+HEAD = b"GET /up HTTP/1.1\r\nHost: a\r\n"
+
+
+@pytest.mark.parametrize(
+    ("pieces", "limit_s"),
+    [([HEAD], http.SLOW_REQUEST_S), ([HEAD + b"\r\n"], http.IDLE_SERVER_S), ([], http.IDLE_SERVER_S)],
+)
+def test_a_client_that_is_late_is_ended_and_a_slow_handler_is_not(pieces: list[bytes], limit_s: float) -> None:
+    clock, ended = Clock(), 0.0
+
+    async def slow(_: Request) -> Response:
+        await curio.sleep(20 * http.SLOW_REQUEST_S)
+        return Response(200)
+
+    async def main() -> None:
+        nonlocal ended
+        sock, server = StandInSocket(*pieces), HttpServer("127.0.0.1:1", slow, 10)
+        await curio.spawn(server._end_slow, daemon=True)
+        task = await curio.spawn(server._converse, sock, daemon=True)
+        began = clock.now
+        await task.wait()
+        ended = clock.now - began
+        assert bool(sock.sent) is (pieces == [HEAD + b"\r\n"])
+        assert not server._links
+
+    clock.run(main)
+    handled_s = 20 * http.SLOW_REQUEST_S if pieces == [HEAD + b"\r\n"] else 0.0
+    assert limit_s <= ended - handled_s <= limit_s + 2 * http.SWEEP_S
+
+
+def test_with_more_workers_than_connections_the_idlest_gives_way() -> None:
+    """4,000 workers report in turn to a controller with connections for a hundredth of them; each is answered."""
+    clock, most, workers = Clock(), 40, 4000
+    answered = ended = 0
+
+    class Worker(StandInSocket):
+        async def sendall(self, data: bytes) -> None:
+            nonlocal answered
+            answered += data.startswith(b"HTTP/1.1 200")
+
+    async def handle(_: Request) -> Response:
+        return Response(200)
+
+    async def main() -> None:
+        nonlocal ended
+        server = HttpServer("127.0.0.1:1", handle, most)
+        tasks = []
+        busy = Worker(HEAD)  # half a request: nobody's place to take
+        tasks.append(await curio.spawn(server._converse, busy, daemon=True))
+        await curio.sleep(0)
+        for _ in range(workers):
+            if len(server._links) >= most:
+                await server._end_idlest()
+                ended += 1
+            tasks.append(await curio.spawn(server._converse, Worker(HEAD + b"\r\n"), daemon=True))
+            await curio.sleep(0.001)
+            assert len(server._links) <= most
+        assert not tasks[0].terminated
+        assert [task.terminated for task in tasks[1:]] == [True] * (workers - most + 1) + [False] * (most - 1)
+
+    clock.run(main)
+    assert answered == workers
+    assert ended == workers - most + 1
