Budgets of rounds last 0.05 s by the clock at most; a fleet of 4,000 in tests; 422 for huge jobs

Cause: a leader with partitions held the loop for 0.1 s several times in a row.

4,000 machines in one partition: reports, changes and ends cost the same calls as at 20 and 400; placing, admission and search run; the machine list, peers' messages and bounds are checked. A job whose record is larger than the state service will ever take gets 422 instead of 503 for ever.

--- a/spurarch/coordination/round_budget.py
+++ b/spurarch/coordination/round_budget.py
@@ -4,7 +4,7 @@
 
 import time
 
-LONGEST_S = 0.1  # whatever waits in the event loop, workers' reports among it, waits for no longer
+LONGEST_S = 0.05  # whatever waits in the event loop, workers' reports among it, waits for no longer
 
 
 class RoundBudget:
--- a/spurarch/coordination/users.py
+++ b/spurarch/coordination/users.py
@@ -28,6 +28,8 @@
 SYNC_S = 1.2
 MOST_WAIT_S = 2.0
 
+RECORD_MARGIN_BYTES = 64  # the state service may count a little more than we send
+
 
 def error(status: int, message: str, retry_s: int = RETRY_S) -> Response:
     """An error as JSON; one that passes says when to come back."""
@@ -50,6 +52,7 @@
         self._teams = {team.name: team for team in deployment.teams}
         self._zones = set(deployment.zones)
         self._nodes = nodes
+        self._record_bytes = deployment.state.value_bytes - RECORD_MARGIN_BYTES
         self._pending = 0
 
     async def submit(self, body: bytes) -> Response:
@@ -113,6 +116,8 @@
             return error(422, "spread: the tasks of a gang are in one zone")
         if spec.zone is not None and spec.zone not in self._zones:
             return error(422, "district: unknown zone")
+        if len(wire.encode(JobRecord(spec, time.time(), True, time.time()))) > self._record_bytes:
+            return error(422, "the job's description is larger than a record may be")
         if not self.view.offers:
             return error(503, "machine types are not known yet")
         for offer in self.view.offers.values():
--- /dev/null
+++ b/tests/test_large_fleet.py
@@ -0,0 +1,93 @@
+"""A fleet of 4,000 machines, 1,500 and more of them in one zone: nothing of ours ends below that."""
+
+from __future__ import annotations
+
+from random import Random
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from spurarch.coordination.admission import Admission
+from spurarch.coordination.local_search import refine
+from spurarch.coordination.partition import RETURNED_KEPT
+from spurarch.coordination.placing import Placer
+from spurarch.protocol import peer_messages
+from spurarch.settings import Tuning
+from spurarch.storage import records
+from spurarch.storage.cloud import Cloud
+from spurarch.storage.records import AllocationKey, AllocationRecord, JobRecord, TaskEntry
+from spurarch.transport import frames, sockets
+from tests.sim.clock import Clock
+from tests.test_scale import Fleet, calls, submission
+
+MACHINES = 4000
+PAGE = 500
+
+
+def test_decisions_over_the_whole_fleet_in_one_partition() -> None:
+    """All of the fleet in one zone: a round places what waits, the leader admits, the search refines."""
+    fleet = Fleet(MACHINES)
+    fleet.put(f"{records.JOB}job-9001", JobRecord(submission("job-9001", 1000), 1.0))
+    fleet.put(str(AllocationKey("a", "job-9001", 0)), AllocationRecord([TaskEntry(n) for n in range(100)]))
+    fleet.put(f"{records.JOB}job-9002", JobRecord(submission("job-9002", 100), 1.0))
+    fleet.news([str(AllocationKey("a", "job-9001", 0))])
+    placed = Placer().run(fleet.part, fleet.view, 2.0, lambda: False, 200)
+    assert sum(map(len, placed.entries.values())) == 100
+    plan = Admission(fleet.view, 2.0).run(None, lambda: False, 24)
+    assert sum(len(grant.entries) for grant in plan.grants if grant.job == "job-9002") == 100
+    refine(fleet.part, fleet.view, Tuning(), 2.0, Random(1), lambda: False)
+
+
+def test_the_cost_of_an_end_and_of_an_owner_s_records_is_that_of_a_small_fleet() -> None:
+    costs = []
+    for machines in (400, MACHINES):
+        fleet = Fleet(machines)
+        token = fleet.part.token(fleet.part.machines["vm-7"])
+        ended = fleet.wire_report(7, 3, token)
+        ended.tasks[0] = msgspec.structs.replace(ended.tasks[0], state="ended", why="done")
+        report = calls(lambda f=fleet, r=ended: f.part.on_report(r, 2.0))  # type: ignore[misc]
+        left = calls(lambda f=fleet: f.part.left_over(f.state))  # type: ignore[misc]
+        costs.append((report, left))
+    assert costs[0] == costs[1]
+
+
+def test_a_machine_list_of_any_length_is_read_with_repeated_and_lagging_pages() -> None:
+    names = [f"vm-{n:06d}" for n in range(2 * MACHINES)]
+
+    class Client:
+        """Every other page repeats the last machine of the one before."""
+
+        async def request(self, method: str, target: str, body: bytes | None, timeout_s: float) -> tuple[int, bytes]:
+            after = parse_qs(urlsplit(target).query).get("from", [""])[0]
+            at = next((i for i, name in enumerate(names) if name > after), len(names))
+            at = max(0, at - 1) if at % (2 * PAGE) else at
+            listed = [
+                {"ref": name, "addr": "10.1.0.1:9000", "build": "big", "district": "a", "lendable": False,
+                 "standing": "running", "held_s": 1.0}
+                for name in names[at : at + PAGE]
+            ]  # fmt: skip
+            return 200, msgspec.json.encode({"crofts": listed, "has_next": at + PAGE < len(names)})
+
+    async def main() -> None:
+        found = await Cloud(Client(), 8.0, 1).machines()
+        assert {machine.id for machine in found} == set(names)
+
+    Clock().run(main)
+
+
+def test_peers_and_bounds_allow_for_the_fleet() -> None:
+    names = [f"vm-{n:06d}" for n in range(MACHINES)]
+    jobs = [f"job-{n:012d}" for n in range(4 * MACHINES)]
+    pong = peer_messages.Pong("node-0", "boot", True, jobs, [("zone", "node-0", 2**40)] * 20, 1.0, 1.0)
+    load = peer_messages.Load("node-0", 1.0, False, [("zone", MACHINES)] * 20, names, 0)
+    for message in (pong, load):
+        assert len(peer_messages.encode(message)) <= frames.MAX_FRAME
+    assert min(RETURNED_KEPT, sockets.BACKLOG) >= MACHINES
+
+
+def test_the_first_looks_of_a_successor_are_over_soon() -> None:
+    """Records of 4,000 machines and as many jobs are taken in by a new owner; generous, but not without a bound."""
+    fleet = Fleet(MACHINES)
+    assert len(fleet.part.machines) == MACHINES
+    work = calls(lambda: fleet.part.take_records(fleet.state, list(fleet.state.entries), 3.0))
+    assert work <= 120 * MACHINES
--- a/tests/test_requests_and_settings.py
+++ b/tests/test_requests_and_settings.py
@@ -5,6 +5,7 @@
 import ast
 import socket
 from pathlib import Path
+from types import SimpleNamespace
 
 import curio
 import msgspec
@@ -13,8 +14,19 @@
 from hypothesis import strategies as st
 
 from spurarch import cli
+from spurarch.coordination.users import Users
 from spurarch.protocol import peer_messages, wire
-from spurarch.settings import SettingsError, load_platform, load_tuning
+from spurarch.settings import (
+    CloudLimits,
+    Deployment,
+    NextStateLimits,
+    SettingsError,
+    StateLimits,
+    Team,
+    Workers,
+    load_platform,
+    load_tuning,
+)
 from spurarch.transport.http import HttpClient, HttpServer, Request, Response
 
 ROOT = Path(__file__).parent.parent
@@ -93,6 +105,19 @@
     assert curio.run(main).split(b" ")[1] == status
 
 
+@pytest.mark.parametrize(("types", "status"), [(1, None), (60, None), (150, 422)])
+def test_a_job_too_large_for_a_record_is_refused_for_good(types: int, status: int | None) -> None:
+    """Such a job was answered with 503, again and again: the state service never takes its record."""
+    state = StateLimits(200.0, 80.0, 16.0, 24, NextStateLimits(value_kb=2.0))
+    deployment = Deployment(["a"], [Team("t")], Workers(1.0, 10.0, 30.0), state, CloudLimits(8.0, 5.0))
+    names = [f"machine-type-{n}" for n in range(types)]
+    view = SimpleNamespace(offers={name: wire.MachineType(name, 8.0, 0.0, 8.0, 1.0, 1.0, 1.0, ["a"]) for name in names})
+    users = Users(None, view, deployment, [], None, None)  # type: ignore[arg-type]
+    spec = wire.submission_decoder.decode(msgspec.json.encode({**GOOD, "builds": names}))
+    refusal = users._impossible(spec)
+    assert (refusal.status if refusal else None) == status
+
+
 LAYERS = ["transport", "protocol", "storage", "coordination"]
 
 
--- a/tests/test_round_budget.py
+++ b/tests/test_round_budget.py
@@ -20,16 +20,18 @@
 
 
 def test_what_comes_before_the_first_decision_is_not_counted(clock: list[float]) -> None:
-    budget = RoundBudget(0.025, 0.25)
+    budget = RoundBudget(0.01, 0.25)
     clock[0] += 60.0
     assert not budget.spent()
-    clock[0] += 0.09
+    clock[0] += 0.039
     assert not budget.spent()
-    clock[0] += 0.02
+    clock[0] += 0.002
     assert budget.spent()
 
 
-@pytest.mark.parametrize(("share", "span_s"), [(4.0, 0.025), (1.0, 0.025), (0.5, 0.05), (0.1, round_budget.LONGEST_S)])
+@pytest.mark.parametrize(
+    ("share", "span_s"), [(4.0, 0.025), (1.0, 0.025), (0.625, 0.04), (0.1, round_budget.LONGEST_S)]
+)
 def test_a_budget_is_processor_time_and_never_holds_others_up_for_long(
     clock: list[float], share: float, span_s: float
 ) -> None:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -100,7 +100,7 @@
 def test_a_report_and_a_change_cost_the_same_in_a_large_fleet() -> None:
     """The former code walked all runs, allocations and machines on every change and round."""
     costs = []
-    for machines in (20, 400):
+    for machines in (20, 400, 4000):
         fleet = Fleet(machines)
         token = fleet.part.token(fleet.part.machines["vm-3"])
         report = calls(lambda f=fleet, t=token: f.report(3, 3, t))  # type: ignore[misc]
@@ -109,7 +109,7 @@
         change = calls(lambda f=fleet, k=key: f.news([k]))  # type: ignore[misc]
         ends = calls(lambda f=fleet: f.part.ends(f.state, 0.0))  # type: ignore[misc]
         costs.append((report, change, ends))
-    assert costs[0] == costs[1]
+    assert costs[0] == costs[1] == costs[2]
 
 
 def test_like_jobs_without_room_are_looked_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_start_up.py
+++ b/tests/test_start_up.py
@@ -7,6 +7,8 @@
 import sys
 from pathlib import Path
 
+from tests.test_requests_and_settings import PLATFORM
+
 ROOT = Path(__file__).parent.parent
 
 # What curio, the command line and the platform's file could bring in, and what only rounds need.
@@ -71,22 +73,6 @@
 print(json.dumps(curio.run(main)))
 """
 
-PLATFORM = """
-node = "n0"
-area = "a"
-public_addr = "127.0.0.1:1"
-back = "127.0.0.1:2"
-[external]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[deployment]
-zones = ["a"]
-teams = []
-workers = {report_s = 1.0, lease_s = 10.0, cancel_s = 30.0}
-state = {rps = 200.0, write_rps = 80.0, value_kb = 16.0, txn_ops = 24}
-cloud = {rps = 8.0, list_lag_s = 5.0}
-"""
-
 
 def test_nothing_is_loaded_that_the_first_answer_to_a_worker_does_not_need(tmp_path: Path) -> None:
     platform = tmp_path / "platform.toml"
