Connections without a request give way first, and are ended after 10 s

Cause, by rereading: with the idlest connection giving way, a flood of connections that send nothing would have pushed out those of workers and then been kept for 120 s. Now such connections go first, and what has sent no request in 10 s is ended. Answers of the state service are read in larger pieces.

--- a/spurarch/transport/http.py
+++ b/spurarch/transport/http.py
@@ -26,8 +26,10 @@
 log = logging.getLogger(__name__)
 
 READ_SIZE = 16384
+ANSWER_READ_SIZE = 65536  # the state service's answers may be long
 IDLE_SERVER_S = 120.0
 SLOW_REQUEST_S = 10.0
+FIRST_REQUEST_S = 2.0  # after this, a connection without a request gives way to a new one
 SWEEP_S = 1.0
 
 
@@ -42,14 +44,20 @@
 class _ServerLink:
     """One connection of the server, and until when its client may take to send more."""
 
-    __slots__ = ("idle", "parser", "read_by", "sock", "task")
+    __slots__ = ("began", "idle", "parser", "read_by", "served", "sock", "task")
 
     def __init__(self, sock: curio.io.Socket, task: curio.Task) -> None:
         self.sock, self.task = sock, task
         self.parser = RequestParser()
+        self.began = time.monotonic()
+        self.served = False  # a request has come
         self.idle = False  # it has been answered, and nothing more has come
         self.read_by = float("inf")
 
+    def in_vain(self, now: float) -> bool:
+        """The client connected a while ago and has sent nothing yet."""
+        return not self.served and not self.parser.started and now - self.began > FIRST_REQUEST_S
+
 
 class HttpServer:
     """Serves one address.
@@ -70,10 +78,13 @@
         await sockets.serve(self._address, self._converse, self._max, self._end_idlest)
 
     async def _end_idlest(self) -> None:
-        for link in self._links:
-            if link.idle:
-                await link.task.cancel()
-                return
+        """Ends a connection without a request first, so that a flood of those costs workers as little as may be."""
+        now = time.monotonic()
+        silent = (link for link in self._links if link.in_vain(now))
+        idle = (link for link in self._links if link.idle)
+        link = next(silent, None) or next(idle, None)
+        if link is not None:
+            await link.task.cancel()
 
     async def _end_slow(self) -> None:
         """Ends connections whose clients are late. One timer for all: a limit on each wait costs more than the wait."""
@@ -115,7 +126,7 @@
         if request is not None:
             link.idle = False
             return request
-        link.read_by = time.monotonic() + IDLE_SERVER_S
+        link.read_by = time.monotonic() + (IDLE_SERVER_S if link.served else SLOW_REQUEST_S)
         data = await sock.recv(READ_SIZE)
         link.idle = False
         link.read_by = time.monotonic() + SLOW_REQUEST_S
@@ -123,6 +134,7 @@
             parser.feed(data)
             request = parser.next_request()
             if request is not None:
+                link.served = True
                 link.read_by = float("inf")
                 return request
             if parser.wants_continue():
@@ -177,7 +189,7 @@
             state[0] = True
             await link.sock.sendall(message)
             while not parser.complete:
-                parser.feed(await link.sock.recv(READ_SIZE))
+                parser.feed(await link.sock.recv(ANSWER_READ_SIZE))
             return parser.status, parser.body
         finally:
             if parser.keep_alive:
--- a/tests/test_work_counts.py
+++ b/tests/test_work_counts.py
@@ -148,7 +148,7 @@
 
 @pytest.mark.parametrize(
     ("pieces", "limit_s"),
-    [([HEAD], http.SLOW_REQUEST_S), ([HEAD + b"\r\n"], http.IDLE_SERVER_S), ([], http.IDLE_SERVER_S)],
+    [([HEAD], http.SLOW_REQUEST_S), ([HEAD + b"\r\n"], http.IDLE_SERVER_S), ([], http.SLOW_REQUEST_S)],
 )
 def test_a_client_that_is_late_is_ended_and_a_slow_handler_is_not(pieces: list[bytes], limit_s: float) -> None:
     clock, ended = Clock(), 0.0
@@ -206,3 +206,22 @@
     clock.run(main)
     assert answered == workers
     assert ended == workers - most + 1
+
+
+def test_connections_without_a_request_give_way_before_those_of_workers() -> None:
+    clock, most = Clock(), 40
+
+    async def handle(_: Request) -> Response:
+        return Response(200)
+
+    async def main() -> None:
+        server = HttpServer("127.0.0.1:1", handle, most)
+        workers = [await curio.spawn(server._converse, StandInSocket(HEAD + b"\r\n"), daemon=True) for _ in range(30)]
+        silent = [await curio.spawn(server._converse, StandInSocket(), daemon=True) for _ in range(10)]
+        await curio.sleep(http.FIRST_REQUEST_S + 0.1)
+        for _ in range(10):
+            await server._end_idlest()
+        assert all(task.terminated for task in silent)
+        assert not any(task.terminated for task in workers)
+
+    clock.run(main)
