--- /dev/null
+++ b/spurarch/coordination/command_sender.py
@@ -0,0 +1,95 @@
+"""Commands that go straight to workers' own addresses, instead of waiting for their next reports."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import curio
+import msgspec
+
+from spurarch.coordination.machine import Machine
+from spurarch.coordination.owned_partition import OwnedPartition
+from spurarch.coordination.permissions import Permissions
+from spurarch.protocol import wire
+from spurarch.transport.http import NoAnswerError
+from spurarch.transport.network import Network, Requests
+
+log = logging.getLogger(__name__)
+
+DIRECT_S = 4.0  # for an answer
+DIRECT_SHARE, DIRECT_MOST = 8, 150  # of all sockets, one in so many is for connections to workers
+AGAIN_S = 0.5  # between commands to one machine
+QUIET_PAUSE_S = 2.0  # between tries to tell a silent machine that a task of it is cancelled
+
+
+def direct_connections(sockets: int) -> int:
+    """Connections to workers at a time.
+
+    All of a fleet may need commands in the same second, and workers' own reports, which bring the same commands, need
+    the other sockets.
+    """
+    return max(8, min(DIRECT_MOST, sockets // DIRECT_SHARE))
+
+
+class CommandSender:
+    """Sends commands of all partitions of this controller over a bounded number of connections."""
+
+    def __init__(self, network: Network, permissions: Permissions, silent_s: float, sockets: int) -> None:
+        self._network, self._permissions, self._silent_s = network, permissions, silent_s
+        self._clients: dict[str, Requests] = {}
+        self._most = direct_connections(sockets)
+        self._slots = curio.Semaphore(self._most)
+        self._in_line: set[str] = set()  # machines whose commands wait for a connection
+
+    async def send(self, held: OwnedPartition) -> None:
+        """Sends what the partition's machines have to be told; their next reports repeat what got lost."""
+        part, now = held.part, time.monotonic()
+        if not part.attention or not self._permissions.commands(now):
+            return
+        for name in list(part.attention):
+            machine = part.machines.get(name)
+            if machine is None or not part.needs_command(machine):
+                del part.attention[name]
+                continue
+            quiet = now - (machine.heard_at or now) > self._silent_s
+            if machine.direct_after > now or name in self._in_line or (quiet and name not in part.revoking):
+                continue  # one that is silent would only keep a connection from others
+            machine.direct_after = now + (QUIET_PAUSE_S if quiet else AGAIN_S)
+            self._in_line.add(name)
+            await curio.spawn(self._direct, held, machine, daemon=True)
+
+    def _client(self, address: str) -> Requests:
+        client = self._clients.pop(address, None) or self._network.client(address, 1)
+        self._clients[address] = client
+        while len(self._clients) > self._most:
+            self._clients.pop(next(iter(self._clients)))
+        return client
+
+    async def _direct(self, held: OwnedPartition, machine: Machine) -> None:
+        """Commands are worked out when there is a connection for them: in a mass start that may take a while."""
+        async with self._slots:
+            self._in_line.discard(machine.name)
+            now = time.monotonic()
+            if self._permissions.owns(held.part) and self._permissions.commands(now):
+                sent = held.part.direct(machine)
+                if sent is not None:
+                    await self._command(held, machine, sent)
+
+    async def _command(self, held: OwnedPartition, machine: Machine, sent: wire.DirectCommands) -> None:
+        part, client = held.part, self._client(machine.addr)
+        try:
+            status, answer = await client.request("POST", wire.PATH_COMMANDS, wire.encode(sent), DIRECT_S)
+        except NoAnswerError as err:
+            log.debug("no answer from %s: %s", machine.name, err)
+            part.direct_lost(machine, sent, err.sent)
+            return
+        report = None
+        if status in (200, 409):
+            try:
+                report = wire.report_decoder.decode(answer)
+            except msgspec.DecodeError as err:
+                log.warning("unreadable answer from %s: %s", machine.name, err)
+        part.direct_answered(machine, sent, report, time.monotonic())
+        if part.over:
+            await held.bell.set()
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -11,9 +11,10 @@
 import curio
 import msgspec
 
+from spurarch.coordination.command_sender import direct_connections
 from spurarch.coordination.loop_lag import LoopLag
 from spurarch.coordination.membership import Membership, rate_shares
-from spurarch.coordination.partition_owner import PartitionOwner, direct_connections
+from spurarch.coordination.partition_owner import PartitionOwner
 from spurarch.coordination.stall_detector import BEAT_S, StallDetector
 from spurarch.coordination.store_reachability import StoreReachability
 from spurarch.coordination.users import Users, error
--- a/spurarch/coordination/partition_owner.py
+++ b/spurarch/coordination/partition_owner.py
@@ -9,10 +9,10 @@
 from random import Random
 
 import curio
-import msgspec
 
+from spurarch.coordination.command_sender import CommandSender
 from spurarch.coordination.loop_lag import LoopLag
-from spurarch.coordination.machine import Machine, Standing, TaskAttempt
+from spurarch.coordination.machine import Standing, TaskAttempt
 from spurarch.coordination.membership import Membership
 from spurarch.coordination.owned_partition import OwnedPartition
 from spurarch.coordination.partition import Partition, is_live_gang, merged, save_grace_s
@@ -30,8 +30,7 @@
 from spurarch.storage.records import AllocationKey, MachineRecord, TaskEntry
 from spurarch.storage.replica import Replica, Write
 from spurarch.storage.store import Verdict
-from spurarch.transport.http import NoAnswerError
-from spurarch.transport.network import Network, Requests
+from spurarch.transport.network import Network
 
 log = logging.getLogger(__name__)
 
@@ -45,22 +44,10 @@
 GATHER_SCARCE_S = 6.0
 SCARCE_LEVEL = 0.5
 CLEAN_S = 10.0
-DIRECT_S = 4.0
-DIRECT_SHARE, DIRECT_MOST = 8, 150  # of all sockets, one in so many is for connections to workers
 SILENT_REPORTS = 2.5
 STRANGERS_S = 5.0  # a worker that looks for its holder comes by more often than that
 MOVE_S = 15.0
 SEARCH_PUT_OFF_S = 30.0  # at most, while the event loop is late
-QUIET_PAUSE_S = 2.0  # between tries to tell a silent machine that a task of it is cancelled
-
-
-def direct_connections(sockets: int) -> int:
-    """Connections to workers at a time.
-
-    All of a fleet may need commands in the same second, and workers' own reports, which bring the same commands, need
-    the other sockets.
-    """
-    return max(8, min(DIRECT_MOST, sockets // DIRECT_SHARE))
 
 
 @dataclass(slots=True)
@@ -80,7 +67,7 @@
         self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, reachability: StoreReachability, stall_detector: StallDetector,
         lag: LoopLag, deployment: Deployment, tuning: Tuning, network: Network,
     ) -> None:  # fmt: skip
-        self._network, self._lag = network, lag
+        self._lag = lag
         self.replica, self.membership, self.view = replica, membership, view
         self.reachability, self.deployment, self.tuning = reachability, deployment, tuning
         self._record_tasks = records.tasks_per_record(deployment.state.value_bytes)
@@ -94,10 +81,9 @@
         self.found_stranger = curio.Event()  # a worker that its holder gave up for unheard
         self._bell = replica.listen()
         self._dirty = replica.state.subscribe()
-        self._clients: dict[str, Requests] = {}
-        self._clients_most = direct_connections(deployment.limits.sockets)
-        self._direct_slots = curio.Semaphore(self._clients_most)
-        self._in_line: set[str] = set()  # machines whose commands wait for a connection
+        self._commands = CommandSender(
+            network, self._permissions, SILENT_REPORTS * deployment.workers.report_s, deployment.limits.sockets
+        )
         self._random = Random(tuning.seed)
 
     # Reports
@@ -465,60 +451,9 @@
         elif outcome.verdict not in (Verdict.DONE, Verdict.REFUSED):
             log.info("holder transaction for %s: %s %s", part.zone, outcome.verdict.value, outcome.failed)
 
-    # Commands
-
     async def _send(self, held: OwnedPartition) -> None:
-        """Starts and stops go straight to the worker; its next report repeats what got lost."""
-        part, now = held.part, time.monotonic()
-        if part.ready:
+        """Starts and stops go straight to the worker, by what the records say now."""
+        if held.part.ready:
             self._spread_news()
-            self._take_news(held, now)
-        if not part.attention or not self._permissions.commands(now):
-            return
-        silent = SILENT_REPORTS * self.deployment.workers.report_s
-        for name in list(part.attention):
-            machine = part.machines.get(name)
-            if machine is None or not part.needs_command(machine):
-                del part.attention[name]
-                continue
-            quiet = now - (machine.heard_at or now) > silent
-            if machine.direct_after > now or name in self._in_line or (quiet and name not in part.revoking):
-                continue  # one that is silent would only keep a connection from others
-            machine.direct_after = now + (QUIET_PAUSE_S if quiet else 0.5)
-            self._in_line.add(name)
-            await curio.spawn(self._direct, held, machine, daemon=True)
-
-    def _client(self, address: str) -> Requests:
-        client = self._clients.pop(address, None) or self._network.client(address, 1)
-        self._clients[address] = client
-        while len(self._clients) > self._clients_most:
-            self._clients.pop(next(iter(self._clients)))
-        return client
-
-    async def _direct(self, held: OwnedPartition, machine: Machine) -> None:
-        """Commands are worked out when there is a connection for them: in a mass start that may take a while."""
-        async with self._direct_slots:
-            self._in_line.discard(machine.name)
-            now = time.monotonic()
-            if self._permissions.owns(held.part) and self._permissions.commands(now):
-                sent = held.part.direct(machine)
-                if sent is not None:
-                    await self._command(held, machine, sent)
-
-    async def _command(self, held: OwnedPartition, machine: Machine, sent: wire.DirectCommands) -> None:
-        part, client = held.part, self._client(machine.addr)
-        try:
-            status, answer = await client.request("POST", wire.PATH_COMMANDS, wire.encode(sent), DIRECT_S)
-        except NoAnswerError as err:
-            log.debug("no answer from %s: %s", machine.name, err)
-            part.direct_lost(machine, sent, err.sent)
-            return
-        report = None
-        if status in (200, 409):
-            try:
-                report = wire.report_decoder.decode(answer)
-            except msgspec.DecodeError as err:
-                log.warning("unreadable answer from %s: %s", machine.name, err)
-        part.direct_answered(machine, sent, report, time.monotonic())
-        if part.over:
-            await held.bell.set()
+            self._take_news(held, time.monotonic())
+        await self._commands.send(held)
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from spurarch.coordination.command_sender import direct_connections
 from spurarch.coordination.controller import SOCKETS_RESERVED
 from spurarch.coordination.machine import Standing
-from spurarch.coordination.partition_owner import direct_connections
 from spurarch.coordination.release_candidates import cut_off, silent_machines
 from spurarch.coordination.stall_detector import GAP_S, StallDetector
 from spurarch.settings import Tuning, Workers
