--- a/tests/test_start_up.py
+++ b/tests/test_start_up.py
@@ -14,7 +14,7 @@
 # What curio, the command line and the platform's file could bring in, and what only rounds need.
 UNUSED = {
     "argparse", "asyncio", "multiprocessing", "ssl", "subprocess", "concurrent.futures", "secrets", "pathlib",
-    "curio.workers.run_in_thread", "curio.channel", "curio.network", "sexpdata",
+    "curio.channel", "curio.file", "curio.network", "curio.socket", "curio.ssl", "sexpdata",
     "spurarch.coordination.leader", "spurarch.coordination.admission", "spurarch.coordination.placing",
     "spurarch.coordination.local_search", "spurarch.coordination.tabu", "spurarch.coordination.provisioning",
 }  # fmt: skip
