--- /dev/null
+++ b/deploy/features.sexp
@@ -0,0 +1,5 @@
+; What is off unless an installation asks for it: run.py serve --config FILE --tuning deploy/features.sexp
+((recovery t)
+ (archive-address "127.0.0.1:8090")
+ (archive-away "go-on")
+ (archive-patience-s 20))
--- /dev/null
+++ b/spurarch/archive/commands.py
@@ -0,0 +1,161 @@
+"""`spurarch archive`: the commands of an operators' machine that has a disk."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import sys
+from pathlib import Path
+
+import curio
+
+from spurarch.archive.directory import (
+    ArchiveBusyError,
+    EmptyArchiveError,
+    Point,
+    files,
+    histories,
+    locked,
+    prune,
+    read_point,
+    verify,
+)
+from spurarch.archive.follower import Follower, RivalArchiverError
+from spurarch.archive.format import DamagedFileError
+from spurarch.archive.server import ArchiveServer
+from spurarch.settings import Platform, SettingsError, load_platform
+from spurarch.storage.store import Store
+from spurarch.transport.network import Network
+
+log = logging.getLogger(__name__)
+
+USAGE, FAILED = 2, 1
+CONNECTIONS = 4
+SERVER_CONNECTIONS = 64
+RATE_SHARE = 0.1  # of the state service's rates, taken beside those of the controllers
+
+
+def add_parser(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Adds the commands to the command line."""
+    text = "keep, check and read the archive of the state service's data"
+    parser = commands.add_parser("archive", help=text, description=text)
+    actions = parser.add_subparsers(dest="action", metavar="ACTION", required=True)
+    run = actions.add_parser("run", help="follow the state service, and serve what is archived to controllers")
+    run.add_argument("--config", required=True, metavar="FILE", help="the platform's TOML file")
+    run.add_argument("--listen", required=True, metavar="IP:PORT", help="where controllers ask for records")
+    show = actions.add_parser("show", help="print records, newest or as of a revision, a line of JSON each")
+    show.add_argument("--revision", type=int, help="as of this revision")
+    show.add_argument("--prefix", default="", help="only keys that begin with this")
+    listing = actions.add_parser("list", help="list histories and files")
+    check = actions.add_parser("verify", help="read every file; exit code 2 if one can't be trusted")
+    pruning = actions.add_parser("prune", help="remove what lies before the newest snapshots of each history")
+    pruning.add_argument("--keep", type=int, default=2, metavar="N", help="snapshots to keep (2)")
+    for action in (run, show, listing, check, pruning):
+        action.add_argument("--directory", required=True, type=Path, metavar="DIR")
+    for action in (show, check):
+        action.add_argument("--history", help="a history's name; the newest if left out")
+
+
+def run_command(args: argparse.Namespace) -> int:
+    """Runs a command; returns its exit code."""
+    actions = {"run": _run, "show": _show, "list": _list, "verify": _verify, "prune": _prune}
+    try:
+        return actions[args.action](args)
+    except (DamagedFileError, EmptyArchiveError, ArchiveBusyError, SettingsError) as err:
+        print(f"spurarch: {err}", file=sys.stderr)
+        return USAGE
+    except RivalArchiverError as err:
+        print(f"spurarch: {err}", file=sys.stderr)
+        return FAILED
+    except OSError as err:
+        print(f"spurarch: {err.filename or args.directory}: {err.strerror or err}", file=sys.stderr)
+        return FAILED
+
+
+def newest_archived(root: Path) -> Point | None:
+    """What an earlier archiver left: the newest point of the newest history."""
+    found = histories(root)
+    try:
+        return read_point(found[-1]) if found else None
+    except EmptyArchiveError:
+        return None
+
+
+def archived_history(root: Path, name: str) -> Point | None:
+    """The newest point of a history by its name."""
+    found = [path for path in histories(root) if path.name.endswith(f"-{name}")] if name else []
+    try:
+        return read_point(found[-1]) if found else None
+    except (EmptyArchiveError, DamagedFileError) as err:
+        log.error("archive: %s", err)
+        return None
+
+
+async def serve(platform: Platform, root: Path, listen: str, network: Network | None = None) -> None:
+    """Follows the state service and serves what is archived, until cancelled."""
+    network = network or Network()
+    limits = platform.deployment.state
+    store = Store(network.client(platform.external.state, CONNECTIONS), limits, 1)
+    store.set_shares(RATE_SHARE, RATE_SHARE)
+    follower = Follower(store, root, newest_archived(root))
+    server = ArchiveServer(lambda: follower.point, lambda name: archived_history(root, name))
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(network.server(listen, server.handle, SERVER_CONNECTIONS).run)
+        following = await group.spawn(follower.run)
+        async for done in group:
+            if done.exception is not None:
+                raise done.exception
+            if done is following:
+                return
+
+
+def _run(args: argparse.Namespace) -> int:
+    platform = load_platform(args.config)
+    with locked(args.directory):
+        try:
+            curio.run(serve, platform, args.directory, args.listen)
+        except KeyboardInterrupt:
+            return 0
+    return FAILED
+
+
+def _directory(args: argparse.Namespace) -> Path:
+    found: list[Path] = histories(args.directory)
+    if args.history:
+        found = [path for path in found if path.name.endswith(f"-{args.history}")]
+    if not found:
+        raise EmptyArchiveError(f"{args.directory}: no such history" if args.history else f"{args.directory}: empty")
+    return found[-1]
+
+
+def _show(args: argparse.Namespace) -> int:
+    point = read_point(_directory(args), args.revision)
+    print(f"# history {point.history}, revision {point.revision}, {len(point.records)} records")
+    for key in sorted(point.records):
+        if key.startswith(args.prefix):
+            entry = point.records[key]
+            print(f'{{"key":"{key}","revision":{entry.revision},"value":{(entry.value or b"null").decode()}}}')
+    return 0
+
+
+def _list(args: argparse.Namespace) -> int:
+    for directory in histories(args.directory):
+        print(directory.name)
+        for file in files(directory):
+            size = file.path.stat().st_size
+            print(f"  {file.path.name}  {file.header.kind.value} from revision {file.header.revision}, {size} bytes")
+    return 0
+
+
+def _verify(args: argparse.Namespace) -> int:
+    point = verify(_directory(args))
+    print(f"history {point.history} is good up to revision {point.revision}: {len(point.records)} records")
+    return 0
+
+
+def _prune(args: argparse.Namespace) -> int:
+    with locked(args.directory):
+        for directory in histories(args.directory):
+            for path in prune(directory, max(1, args.keep)):
+                print(f"removed {directory.name}/{path.name}")
+    return 0
--- /dev/null
+++ b/spurarch/archive/follower.py
@@ -0,0 +1,279 @@
+"""Follows the state service: a consistent snapshot first, then every change.
+
+    CONNECTING -> READING -> FOLLOWING -> (READING again, when changes were missed)
+        any of them -> SEALED once the history that is followed is over
+
+Pages of a reading are answered at different revisions. They become one by replaying, from the revision of the first page,
+every change since: whatever a page holds that is newer is brought about once more, and comes out the same.
+"""
+
+from __future__ import annotations
+
+import enum
+import logging
+import os
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import curio
+
+from spurarch.archive.directory import ChangeLog, Point, write_snapshot
+from spurarch.archive.format import Entry
+from spurarch.protocol import wire
+from spurarch.storage.history import (
+    ARCHIVED,
+    CURRENT,
+    HISTORY,
+    OPEN,
+    ArchivedRecord,
+    HistoryRecord,
+    decode_archived,
+    decode_history,
+)
+from spurarch.storage.limits import Urgency
+from spurarch.storage.records import LEADER, MEMBER
+from spurarch.storage.store import RevisionTooOldError, Store, StoreUnavailableError, Verdict
+
+log = logging.getLogger(__name__)
+
+WATCH_MS = 2000
+BATCH_S = 0.1  # changes are gathered for so long: a sync of the disk each
+PUBLISH_S = 0.25
+RIVAL_S = 10.0  # another archiver that published so recently is at work
+AGAIN_S = 0.5
+SNAPSHOT_LOG_BYTES = 8 << 20  # of changes, after which a new snapshot begins
+UNRECORDED = (MEMBER, LEADER)  # whoever rebuilds has its own
+PREFIXES = ("live/", "final/", "packed/")
+
+
+class FollowerPhase(enum.Enum):
+    """Where the archiver stands."""
+
+    CONNECTING = "connecting"
+    READING = "reading"
+    FOLLOWING = "following"
+    SEALED = "sealed"
+
+
+_NEXT = {
+    FollowerPhase.CONNECTING: {FollowerPhase.READING},
+    FollowerPhase.READING: {FollowerPhase.FOLLOWING, FollowerPhase.CONNECTING, FollowerPhase.SEALED},
+    FollowerPhase.FOLLOWING: {FollowerPhase.READING, FollowerPhase.SEALED},
+    FollowerPhase.SEALED: {FollowerPhase.READING},
+}
+
+
+class RivalArchiverError(Exception):
+    """Another archiver has published its progress a moment ago."""
+
+
+@dataclass(slots=True)
+class FollowerCounts:
+    """What was done since the start."""
+
+    snapshots: int = 0
+    batches: int = 0
+    changes: int = 0
+    bytes_logged: int = 0
+    longest_lag_s: float = 0.0
+
+
+class Follower:
+    """Keeps an archive of the history in force, and stops at any sign that it is over."""
+
+    def __init__(self, store: Store, root: Path, earlier: Point | None = None) -> None:
+        self._store, self._root, self._earlier = store, root, earlier
+        self.name = os.urandom(6).hex()  # of this archiver's process
+        self.phase = FollowerPhase.CONNECTING
+        self.point: Point | None = earlier
+        self.counts = FollowerCounts()
+        self._history: HistoryRecord | None = None
+        self._log: ChangeLog | None = None
+        self._revision = 0  # followed so far, with what is no record of the history
+        self._published = 0
+
+    def _advance(self, phase: FollowerPhase) -> None:
+        if phase is self.phase:
+            return
+        if phase not in _NEXT[self.phase]:
+            raise RuntimeError(f"{self.phase} -> {phase}")
+        log.info("archive: %s", phase.value)
+        self.phase = phase
+
+    async def run(self) -> None:
+        """Follows until cancelled; raises if another archiver is at work, or the disk fails."""
+        await self._yield_to_rival()
+        while True:
+            try:
+                await self._step()
+            except RevisionTooOldError:
+                log.warning("archive: changes were missed, reading again")
+                self._advance(FollowerPhase.READING)
+            except StoreUnavailableError as err:
+                log.info("archive: %s", err)
+                await curio.sleep(AGAIN_S)
+
+    async def _step(self) -> None:
+        if self.phase in (FollowerPhase.CONNECTING, FollowerPhase.SEALED):
+            await self._connect()
+        elif self.phase is FollowerPhase.READING:
+            await self._read()
+        else:
+            await self._follow()
+
+    async def _yield_to_rival(self) -> None:
+        """Two archivers at once would both be right, but each would tell of its own progress only."""
+        first = await self._store.get(ARCHIVED)
+        if first is None:
+            return
+        deadline = time.monotonic() + 2 * PUBLISH_S
+        while time.monotonic() < deadline:
+            await curio.sleep(PUBLISH_S)
+        again = await self._store.get(ARCHIVED)
+        if again is not None and again.version != first.version:
+            raise RivalArchiverError(f"archiver {decode_archived(again.value).archiver} is at work")
+
+    # Reading
+
+    async def _connect(self) -> None:
+        """Finds the history in force; after one was sealed, the next."""
+        item = await self._store.get(CURRENT)
+        history = decode_history(item.value) if item is not None else None
+        if history is None or (self._history is not None and history.number <= self._history.number):
+            await curio.sleep(AGAIN_S)
+            return
+        if await self._store.get(OPEN + history.name) is None:
+            await curio.sleep(AGAIN_S)
+            return
+        self._history, self._log, self._revision = history, None, 0
+        if self._earlier is not None and self._earlier.history == history.name:
+            self._revision = self._earlier.revision  # a state service that has gone back since is not followed
+        self._advance(FollowerPhase.READING)
+
+    async def _read(self) -> None:
+        """A consistent snapshot: pages, and the changes since the first of them."""
+        assert self._history is not None
+        history = self._history
+        point = Point(history.name, history.number, 0)
+        first: int | None = None
+        for prefix in PREFIXES:
+            after: str | None = None
+            while True:
+                page = await self._store.page(history.prefix + prefix, after)
+                first = page.revision if first is None else first
+                if page.revision < max(first, self._revision):
+                    await self._seal_in_store(f"revision {page.revision} after {max(first, self._revision)}")
+                    return
+                for item in page.items:
+                    self._take(point, Entry(item.version, item.key[len(history.prefix) :], bytes(item.value)))
+                if not page.more or not page.items:
+                    break
+                after = page.items[-1].key
+        assert first is not None
+        changes = await self._store.watch(first, 0)
+        entries = self._entries(changes)
+        if entries is None:
+            return
+        for entry in entries:
+            self._take(point, entry)
+        point.revision = changes.revision
+        if await self._store.get(OPEN + history.name) is None:
+            self._seal("its marker is gone")
+            return
+        self._begin_log(point, changes.revision)
+        self._advance(FollowerPhase.FOLLOWING)
+
+    def _begin_log(self, point: Point, revision: int) -> None:
+        write_snapshot(self._root, point)
+        self._log = ChangeLog(self._root, point)
+        self.point, self._revision = point, revision
+        self.counts.snapshots += 1
+        log.info("archive: snapshot of %d records at revision %d", len(point.records), point.revision)
+
+    # Following
+
+    async def _follow(self) -> None:
+        started = time.monotonic()
+        changes = await self._store.watch(self._revision, WATCH_MS)
+        if changes.revision < self._revision:
+            await self._seal_in_store(f"revision {changes.revision} after {self._revision}")
+            return
+        entries = self._entries(changes)
+        if entries is None:
+            return
+        if entries:
+            self._append(entries, changes.revision)
+            self.counts.longest_lag_s = max(self.counts.longest_lag_s, time.monotonic() - started - WATCH_MS / 1000)
+        self._revision = changes.revision
+        await self._publish()
+        await curio.sleep(BATCH_S)
+
+    def _entries(self, changes: wire.Changes) -> list[Entry] | None:
+        """The changes of the history's records, in order; None once it is over."""
+        assert self._history is not None
+        prefix, out = self._history.prefix, []
+        for event in sorted(changes.events, key=lambda e: e.version):
+            key = event.put or event.delete or ""
+            if event.delete == OPEN + self._history.name:
+                self._seal("its marker was deleted")
+                return None
+            if key.startswith(HISTORY) or not key.startswith(prefix):
+                continue
+            key = key[len(prefix) :]
+            if key.startswith(PREFIXES) and not key.startswith(UNRECORDED):
+                out.append(Entry(event.version, key, bytes(event.value) if event.put else None))
+        return out
+
+    @staticmethod
+    def _take(point: Point, entry: Entry) -> None:
+        if not entry.key.startswith(UNRECORDED):
+            point.apply(entry)
+
+    def _append(self, entries: list[Entry], revision: int) -> None:
+        assert self.point is not None
+        assert self._log is not None
+        before = self._log.bytes
+        self._log.append(entries, revision)
+        for entry in entries:
+            self.point.apply(entry)
+        self.point.revision = revision
+        self.counts.batches += 1
+        self.counts.changes += len(entries)
+        self.counts.bytes_logged += self._log.bytes - before
+        if self._log.bytes > SNAPSHOT_LOG_BYTES:
+            self._begin_log(self.point, self._revision)
+
+    async def _publish(self) -> None:
+        """Tells the owners of partitions what is on disk; only after records have changed, since telling is a change."""
+        assert self.point is not None
+        assert self._history is not None
+        if self.point.revision <= self._published:
+            return
+        record = ArchivedRecord(self._history.name, self.point.revision, self.name)
+        marker = await self._store.get(OPEN + self._history.name)
+        if marker is None:
+            self._seal("its marker is gone")
+            return
+        txn = wire.Txn([wire.Guard(OPEN + self._history.name, marker.version)], [wire.Put(ARCHIVED, record)])
+        outcome = await self._store.txn(txn, Urgency.USERS)
+        if outcome.verdict is Verdict.DONE:
+            self._published = self.point.revision
+
+    # The end
+
+    def _seal(self, reason: str) -> None:
+        """Nothing more is taken into this history's archive."""
+        assert self._history is not None
+        log.warning("archive: history %s is over: %s", self._history.name, reason)
+        self._published = 0
+        self._advance(FollowerPhase.SEALED)
+
+    async def _seal_in_store(self, reason: str) -> None:
+        """A state service that went back: nobody may go on in the history that it shows, not even who just started."""
+        assert self._history is not None
+        self._seal(reason)
+        key = OPEN + self._history.name
+        marker = await self._store.get(key)
+        if marker is not None:
+            await self._store.txn(wire.Txn([wire.Guard(key, marker.version)], [wire.Delete(key)]), Urgency.MEMBERSHIP)
--- a/spurarch/cli.py
+++ b/spurarch/cli.py
@@ -42,9 +42,22 @@
         command.add_argument("ref")
     for command in (submit, show, cancel):
         command.add_argument("--node", required=True, metavar="IP:PORT", help="a controller's public address")
+    _add_operators(commands)
     return parser
 
 
+def _add_operators(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Commands of operators' machines; those that need libraries of their own are left out where these are missing."""
+    from spurarch.recovery import commands as recovery
+
+    recovery.add_parser(commands)
+    try:
+        from spurarch.archive import commands as archive
+    except ImportError:
+        return  # requirements-operators.txt is not installed here
+    archive.add_parser(commands)
+
+
 def _add_settings(parser: argparse.ArgumentParser, required: bool) -> None:
     parser.add_argument("--config", metavar="FILE", required=required, help="the platform's TOML file")
     parser.add_argument("--tuning", metavar="FILE", help="operators' settings, S-expressions")
@@ -59,6 +72,8 @@
     args = parser.parse_args(words)
     if args.command in ("submit", "show", "cancel"):
         return _request(args)
+    if args.command in ("archive", "recovery"):
+        return _operate(args)
     if args.config is None:
         parser.error("--config FILE or a command is needed")
     return _run(args.command, args.config, args.tuning)
@@ -115,6 +130,8 @@
     gc.enable()
 
     try:
+        if tuning.recovery:
+            _serve_with_recovery(platform, tuning)
         curio.run(controller(platform, tuning).run)
     except KeyboardInterrupt:
         return 0
@@ -124,6 +141,28 @@
     return FAILED
 
 
+def _operate(args: argparse.Namespace) -> int:
+    """Runs an operators' command."""
+    from importlib import import_module
+
+    level = logging.WARNING if "LOG_LEVEL" not in os.environ and args.action != "run" else LEVELS["info"]
+    logging.basicConfig(level=level, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
+    result: int = import_module(f"spurarch.{args.command}.commands").run_command(args)
+    return result
+
+
+def _serve_with_recovery(platform: Platform, tuning: Tuning) -> None:
+    """Runs controllers one after the other: each begins in the history of records that is in force by then."""
+    import curio
+
+    from spurarch.recovery.launch import controller_with_recovery
+
+    controller: Controller | None = None
+    while True:
+        controller = controller_with_recovery(platform, tuning, before=controller)
+        curio.run(controller.run)
+
+
 def _print_settings(platform: Platform, tuning: Tuning) -> int:
     import msgspec
     import sexpdata
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -6,7 +6,7 @@
 import os
 import time
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import curio
 import msgspec
@@ -31,6 +31,8 @@
 
 if TYPE_CHECKING:
     from spurarch.coordination.leader import Leader
+    from spurarch.coordination.partition import ArchiveCoverage
+    from spurarch.storage.history import HistoryGuard
 
 log = logging.getLogger(__name__)
 
@@ -44,12 +46,50 @@
 LATE_S = 5.0  # users have gone by then, and may have been told more elsewhere
 
 
+class Recovery(Protocol):
+    """Notices that the state service lost its data, and has it rebuilt."""
+
+    @property
+    def closed(self) -> bool:
+        """The records may not be believed."""
+
+    async def open_history(self) -> bool:
+        """Finds the history of records that is in force; False if there is a sign of loss."""
+
+    async def run(self) -> None:
+        """Ends when the controller has to begin anew in another history."""
+
+    def observe(self, report: wire.Report) -> None:
+        """Looks at a worker's report for signs of loss."""
+
+    async def on_report(self, report: wire.Report) -> tuple[int, bytes]:
+        """Answers a report while the records may not be believed."""
+
+    def on_frame(self, frame: bytes) -> bytes | None:
+        """Answers a peer's message of recovery; None if it is another."""
+
+
+class Extension(Protocol):
+    """What a controller with recovery is given: the parts that lie in lower layers, and the service above it."""
+
+    @property
+    def guard(self) -> HistoryGuard:
+        """Watches for signs of loss."""
+
+    @property
+    def coverage(self) -> ArchiveCoverage:
+        """Tells what the archive covers."""
+
+    def attach(self, controller: Controller) -> Recovery:
+        """Makes the service for a controller."""
+
+
 class Controller:
-    """Wires the layers together and runs until it is killed."""
+    """Wires the layers together and runs until it is killed, or has to begin anew after a recovery."""
 
     def __init__(
         self, platform: Platform, tuning: Tuning, network: Network | None = None, boot: str | None = None,
-        version: int = records.PROGRAM_VERSION,
+        version: int = records.PROGRAM_VERSION, extension: Extension | None = None,
     ) -> None:  # fmt: skip
         self.platform, self.tuning = platform, tuning
         self.network = network = network or Network()
@@ -57,7 +97,8 @@
         self.boot = boot or os.urandom(8).hex()  # names this process; no other ever has the same
         external = platform.external
         limits = deployment.state
-        self.store = Store(network.client(external.state, 24), limits, deployment.count)
+        guard = extension.guard if extension is not None else None
+        self.store = Store(network.client(external.state, 24), limits, deployment.count, guard)
         self.cloud = Cloud(network.client(external.cloud, 6), deployment.cloud.rps, deployment.count)
         self.replica = Replica(self.store)
         self.membership = Membership(
@@ -70,16 +111,17 @@
         self.view = FleetView(self.replica.state, deployment.teams, tuning.size_weight, deployment.objectives)
         self.holder = PartitionOwner(
             self.replica, self.membership, self.view, self.cloud, self.reachability, self.stall_detector, self._lag,
-            deployment, tuning, network,
+            deployment, tuning, network, extension.coverage if extension is not None else None,
         )  # fmt: skip
         self.users = Users(
             self.replica, self.view, deployment, [platform.node, *(p.node for p in platform.peers)],
             self._wake, self._tell_cancelled,
         )  # fmt: skip
         self._began = time.monotonic()
-        self._peers = {p.node: network.back_client(p.address) for p in platform.peers}
+        self.peers = {p.node: network.back_client(p.address) for p in platform.peers}
         self._waking = curio.Event()
         self._loads: dict[str, tuple[peer_messages.Load, float]] = {}
+        self._recovery = extension.attach(self) if extension is not None else None
 
     async def run(self) -> None:
         """Serves until cancelled."""
@@ -102,7 +144,11 @@
         async with curio.TaskGroup(wait=any) as group:
             for task in tasks:
                 await group.spawn(self._guarded, task)
+            moved = await group.spawn(self._guarded, self._recovery.run) if self._recovery is not None else None
             async for done in group:
+                if done is moved and not done.exception:
+                    await group.cancel_remaining()
+                    return
                 if done.exception and not isinstance(done.exception, curio.CancelledError):
                     log.error("a task ended: %r", done.exception)
                     raise done.exception
@@ -122,6 +168,8 @@
 
     async def _start(self) -> None:
         """Claims first, so that workers are answered before everything else has been read."""
+        if self._recovery is not None and not await self._recovery.open_history():
+            await curio.Event().wait()  # until another history is open, in which this controller begins anew
         while True:
             try:
                 await self.replica.load_small()
@@ -181,6 +229,10 @@
             report = wire.report_decoder.decode(request.body)
         except (msgspec.DecodeError, UnicodeDecodeError) as err:
             return error(400, str(err))
+        if self._recovery is not None:
+            self._recovery.observe(report)
+            if self._recovery.closed:
+                return Response(*await self._recovery.on_report(report))
         status, body = await self.holder.on_report(report, time.monotonic())
         return Response(status, body)
 
@@ -197,6 +249,8 @@
 
     async def on_frame(self, frame: bytes) -> bytes:
         """Answers a peer."""
+        if self._recovery is not None and (answer := self._recovery.on_frame(frame)) is not None:
+            return answer
         hint = peer_messages.decode(frame)
         if isinstance(hint, peer_messages.Load):
             self._note_refusals(hint)
@@ -226,15 +280,17 @@
         cancelled = {ref for ref, job in state.jobs.items() if job.cancelled} | set(self.reachability.cancelled)
         parts = [(zone, p.node, p.epoch) for zone, p in state.parts.items()]
         read = self.replica.synced_at
-        age_s = now - read if read > float("-inf") else -1.0
-        return peer_messages.Pong(
-            self.platform.node, self.boot, reaches, sorted(cancelled), parts, age_s, now - self._began
-        )  # fmt: skip
+        age_s, up_s = now - read if read > float("-inf") else -1.0, now - self._began
+        if not self.store.trusted:
+            # Peers must not go on by the word of one that waits for the records to be rebuilt: how long an owner that
+            # is cut off may answer its workers bounds how long the rebuilding has to wait for them.
+            age_s, up_s = -1.0, 0.0
+        return peer_messages.Pong(self.platform.node, self.boot, reaches, sorted(cancelled), parts, age_s, up_s)
 
     async def _tell_cancelled(self, ref: str) -> None:
         """Peers may be cut from the state service at this moment, and the service down in the next."""
         frame = peer_messages.encode(peer_messages.Cancelled([ref]))
-        for client in self._peers.values():
+        for client in self.peers.values():
             await curio.spawn(client.call, frame, 0.5, daemon=True)
 
     async def _follow(self) -> None:
@@ -262,14 +318,14 @@
         while True:
             await self._waking.wait()
             self._waking.clear()
-            for client in self._peers.values():
+            for client in self.peers.values():
                 await curio.spawn(client.call, peer_messages.encode(peer_messages.Wake()), 0.5, daemon=True)
             await curio.sleep(0.02)
 
     async def _share_rates(self) -> None:
         """Takes the share of the state service's rates that this controller's duties ask for, and what others lend."""
         node, state = self.platform.node, self.replica.state
-        nodes = [node, *self._peers]
+        nodes = [node, *self.peers]
         while True:
             leader = state.leader.node if state.leader is not None else None
             shares = rate_shares(nodes, [part.node for part in state.parts.values()], leader)
@@ -289,7 +345,7 @@
             self.store.set_shares(shares[node][0], writes)
             self.cloud.set_share(CLOUD_LEADER if node == leader else (1 - CLOUD_LEADER) / max(1, len(nodes) - 1))
             frame = peer_messages.encode(mine)
-            for client in self._peers.values():
+            for client in self.peers.values():
                 await curio.spawn(client.call, frame, 0.5, daemon=True)
             await curio.sleep(SHARE_LEAST_S)
             await curio.ignore_after(SHARE_S - SHARE_LEAST_S, self.holder.found_stranger.wait)
@@ -305,7 +361,7 @@
                 continue
             if time.monotonic() - self.replica.synced_at > CUT_AFTER_S:
                 frame = peer_messages.encode(peer_messages.Ping(self.platform.node))
-                for node, client in self._peers.items():
+                for node, client in self.peers.items():
                     await curio.spawn(self._ping, node, client, frame, daemon=True)
                 await curio.sleep(PING_S - 0.5)
 
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -72,7 +72,7 @@
         self._chunk = records.tasks_per_record(deployment.state.value_bytes)
         self._most_changes = deployment.state.transaction_changes
         self._most_guards = (
-            deployment.state.transaction_guards - self._most_changes - 1
+            deployment.state.transaction_guards - self._most_changes - 1 - replica.store.reserved_guards
         )  # beside written keys and leader
 
     async def run(self) -> None:
@@ -361,7 +361,7 @@
         """
         now = time.monotonic()
         fresh = now - self.replica.synced_at < FRESH_S and self._stall_detector.steady(now, self.replica.synced_at)
-        return self.membership.leading and fresh
+        return self.membership.leading and fresh and self.replica.store.trusted
 
     async def run_cloud(self) -> None:
         """Keeps types and prices known on every controller; the leader also lists and rents."""
--- a/spurarch/coordination/machine.py
+++ b/spurarch/coordination/machine.py
@@ -125,6 +125,7 @@
     notice_until: float | None = None
     runs: dict[tuple[str, int], TaskAttempt] = field(default_factory=dict)
     forget: dict[tuple[str, int], int] = field(default_factory=dict)
+    unarchived: dict[tuple[str, int], int] = field(default_factory=dict)  # of `forget`, revisions of the records
     images: set[int] = field(default_factory=set)  # seen in use here: a task with this image has run
     idle_since: float | None = None
     revoked_at: float | None = None  # it fell silent with a task that was cancelled then, and may hang with it still
--- a/spurarch/coordination/membership.py
+++ b/spurarch/coordination/membership.py
@@ -141,8 +141,9 @@
         """Keeps membership, leadership and claims up to date."""
         while True:
             try:
-                await self.claim()
-                if self.replica.loaded:
+                if self.replica.store.trusted:
+                    await self.claim()
+                if self.replica.loaded and self.replica.store.trusted:
                     await self._join()
                     await self._elect()
                     if self.leading:
--- a/spurarch/coordination/partition.py
+++ b/spurarch/coordination/partition.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from spurarch.coordination.gang import Gangs, GangState
 from spurarch.coordination.machine import Machine, Phase, Standing, TaskAttempt, observed_phase
@@ -19,6 +20,17 @@
 
 log = logging.getLogger(__name__)
 
+
+class ArchiveCoverage(Protocol):
+    """Tells up to which revision the records are in the archive."""
+
+    def recorded(self) -> int:
+        """A revision that holds all that is on record here now."""
+
+    def covers(self, revision: int) -> bool:
+        """The archive holds all changes up to a revision, or is not to be waited for."""
+
+
 TOKEN_BITS = 36
 ASK_LEASES = 0.6  # of a lease: time after which a machine is given a new token, to see that it hears us
 DEAF_LEASES = 0.5  # several reports: a worker shows a higher token with the next one that it sends
@@ -30,6 +42,7 @@
 REFUSAL_PAUSE_S = 2.0
 NOTICE_MARGIN_S = 1.0  # commands and reports take that long
 SAVE_FACTOR, SAVE_MARGIN_S = 1.5, 1.0  # the time that a task is given to save, from what its owner says it takes
+UNARCHIVED_MOST = 64  # ended tasks of one machine that wait for the archive; its reports grow by them
 SAVE_SLACK_S = 10.0  # beyond its grace, before a task that was told to save is told once more
 
 
@@ -87,6 +100,8 @@
         self._unknown_states: set[str] = set()
         self._restarting: set[AllocationKey] = set()  # allocations with a task that is over and was not completed
         self.gangs = Gangs()
+        self.may_start: Callable[[], bool] = lambda: True  # the records can be believed
+        self.coverage: ArchiveCoverage | None = None  # where ends have to be archived before they are forgotten
 
     # Tokens
 
@@ -257,6 +272,8 @@
                 del machine.runs[run.key]
             if run.phase is Phase.EXITED:
                 machine.forget[run.key] = run.attempt
+                if self.coverage is not None and run.why == wire.WHY_DONE:
+                    machine.unarchived[run.key] = self.coverage.recorded()
 
     def step(self, run: TaskAttempt, phase: Phase, why: str | None = None) -> bool:
         """Changes a task's phase; what has ended is noted, to be recorded."""
@@ -477,7 +494,10 @@
         out: list[wire.Command] = []
         if machine.fenced:
             # While a start without an answer may still arrive, a forgotten attempt would run again.
-            out += [wire.Command(wire.FORGET, wire.task_name(*k), a) for k, a in machine.forget.items()]
+            forget = machine.forget
+            if self.coverage is not None:
+                forget = self._archived(machine, self.coverage)
+            out += [wire.Command(wire.FORGET, wire.task_name(*k), a) for k, a in forget.items()]
         if report is not None:
             out += self._clean(machine, report)
         for run in machine.runs.values():
@@ -493,6 +513,21 @@
                 out.append(wire.Command(wire.START, wire.task_name(*run.key), run.attempt))
         return out
 
+    @staticmethod
+    def _archived(machine: Machine, coverage: ArchiveCoverage) -> dict[tuple[str, int], int]:
+        """Ended tasks of which nobody needs the worker's word any more.
+
+        The record of an end can be lost with the state service's data. As long as the archive does not cover it, the
+        worker's report is the only other evidence.
+        """
+        waiting = [
+            (key, revision)
+            for key, revision in machine.unarchived.items()
+            if key in machine.forget and not coverage.covers(revision)
+        ]
+        machine.unarchived = dict(waiting[-UNARCHIVED_MOST:])
+        return {key: attempt for key, attempt in machine.forget.items() if key not in machine.unarchived}
+
     def _saving(self, run: TaskAttempt) -> bool:
         """The task was told to save, and has time left for it. Members of a gang go on being reported as running."""
         if run.grace_s <= 0:
@@ -502,6 +537,8 @@
         return run.phase is Phase.STOPPING
 
     def _startable(self, run: TaskAttempt) -> bool:
+        if not self.may_start():
+            return False
         gang = self.gangs.get(run.where.job)
         return gang is None or gang.startable
 
--- a/spurarch/coordination/partition_owner.py
+++ b/spurarch/coordination/partition_owner.py
@@ -15,7 +15,7 @@
 from spurarch.coordination.machine import Standing, TaskAttempt
 from spurarch.coordination.membership import Membership
 from spurarch.coordination.owned_partition import OwnedPartition
-from spurarch.coordination.partition import Partition, is_live_gang, merged, save_grace_s
+from spurarch.coordination.partition import ArchiveCoverage, Partition, is_live_gang, merged, save_grace_s
 from spurarch.coordination.permissions import Permissions
 from spurarch.coordination.releasing import MachineReleaser
 from spurarch.coordination.round_budget import RoundBudget
@@ -65,7 +65,7 @@
 
     def __init__(
         self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, reachability: StoreReachability, stall_detector: StallDetector,
-        lag: LoopLag, deployment: Deployment, tuning: Tuning, network: Network,
+        lag: LoopLag, deployment: Deployment, tuning: Tuning, network: Network, coverage: ArchiveCoverage | None = None,
     ) -> None:  # fmt: skip
         self._lag = lag
         self.replica, self.membership, self.view = replica, membership, view
@@ -73,18 +73,19 @@
         self._record_tasks = records.tasks_per_record(deployment.state.value_bytes)
         self._most_changes = deployment.state.transaction_changes
         self.held: dict[str, OwnedPartition] = {}
-        self._permissions = Permissions(replica, membership, reachability, stall_detector, deployment.workers.cancel_s)
+        self.permissions = Permissions(replica, membership, reachability, stall_detector, deployment.workers.cancel_s)
         self.returns = MachineReleaser(
-            replica, membership, view, cloud, self._permissions, stall_detector, deployment, tuning, self.held
+            replica, membership, view, cloud, self.permissions, stall_detector, deployment, tuning, self.held
         )
         self._strangers: dict[str, dict[str, float]] = {}
         self.found_stranger = curio.Event()  # a worker that its holder gave up for unheard
         self._bell = replica.listen()
         self._dirty = replica.state.subscribe()
         self._commands = CommandSender(
-            network, self._permissions, SILENT_REPORTS * deployment.workers.report_s, deployment.limits.sockets
+            network, self.permissions, SILENT_REPORTS * deployment.workers.report_s, deployment.limits.sockets
         )
         self._random = Random(tuning.seed)
+        self._coverage = coverage
 
     # Reports
 
@@ -92,7 +93,7 @@
         """Answers a report: 200 as holder, 421 to steer the worker, 503 if nobody can tell."""
         heard = self.reachability.parts.get(report.zone)
         part = self.replica.state.parts.get(report.zone)
-        if self._permissions.superseded(report.zone) and heard is not None and self.reachability.answers(heard[0], now):
+        if self.permissions.superseded(report.zone) and heard is not None and self.reachability.answers(heard[0], now):
             return 421, wire.encode(wire.Steer(heard[0]))  # a peer told us
         if self.membership.holds(report.zone) is None:
             lost = report.zone in self.view.dark()
@@ -106,11 +107,11 @@
             if part is None or part.node == self.membership.node:
                 return 503, wire.encode(wire.ErrorBody("the holder of this zone is not known yet"))
             return 421, wire.encode(wire.Steer(part.node))
-        if not self._permissions.answers(now):
+        if not self.permissions.answers(now):
             return 503, wire.encode(wire.ErrorBody("cut from the state service for too long"))
         held = self._hold(report.zone, now)
         occasions = held.part.occasions
-        commands = held.part.on_report(report, now, self._permissions.steady(now))
+        commands = held.part.on_report(report, now, self.permissions.steady(now))
         if commands is None:
             return 503, wire.encode(wire.ErrorBody("not entitled to this worker"))
         machine = held.part.machines[report.machine]
@@ -134,7 +135,10 @@
                 self.tuning,
                 SILENT_REPORTS * self.deployment.workers.report_s,
             )
-            held.part.cancelled_ago = self._permissions.cancelled_ago
+            held.part.cancelled_ago = self.permissions.cancelled_ago
+            if self._coverage is not None:
+                held.part.coverage = self._coverage
+                held.part.may_start = lambda: self.replica.store.trusted
             self.held[zone] = held
         return held
 
@@ -176,7 +180,7 @@
     async def _run_part(self, held: OwnedPartition) -> None:
         """Rounds of one part, as long as it is held: on news, and every now and then."""
         zone = held.part.zone
-        while self.held.get(zone) is held and self._permissions.owns(held.part):
+        while self.held.get(zone) is held and self.permissions.owns(held.part):
             await held.bell.wait()
             held.bell.clear()
             try:
@@ -197,10 +201,10 @@
         behind-records.md). Silence is judged here too: in a round it was found late, and a controller cut from its
         workers returned them before it noticed.
         """
-        while self.held.get(held.part.zone) is held and self._permissions.owns(held.part):
+        while self.held.get(held.part.zone) is held and self.permissions.owns(held.part):
             await curio.sleep(TICK_S)
             try:
-                if (held.part.ready or held.provisional) and self._permissions.owns(held.part):
+                if (held.part.ready or held.provisional) and self.permissions.owns(held.part):
                     self._obey_cancels(held)
                     await self._send(held)
                     await self.returns.watch_overdue(held, time.monotonic())
@@ -252,7 +256,7 @@
     async def _work(self, held: OwnedPartition) -> None:
         part, state, now = held.part, self.replica.state, time.monotonic()
         writes: list[Write] = []
-        if now >= held.next_tick and self._permissions.steady(now):
+        if now >= held.next_tick and self.permissions.steady(now):
             held.next_tick = now + PART_TICK_S
             part.tick(now)
             writes = self._machine_writes(part, now)
@@ -262,7 +266,7 @@
             budget = self._round_budget()
             held.placer.scarce = self.replica.store.write_level() < SCARCE_LEVEL
             placed = held.placer.run(part, self.view, now, budget.spent, MOST_PLACED, time.time())
-            if self._permissions.fresh(now):
+            if self.permissions.fresh(now):
                 for run in placed.preempt:
                     log.info("preempting %s/%d on %s", *run.key, run.machine)
                     part.stop(run, self._grace(run))
@@ -295,7 +299,7 @@
             return
         first = held.next_search == 0.0
         held.next_search = now + self.tuning.round_s
-        if first or not self._permissions.fresh(now):
+        if first or not self.permissions.fresh(now):
             return
         from spurarch.coordination.local_search import refine  # not needed to answer workers after a restart
 
@@ -432,7 +436,7 @@
         return [Write(str(where), piece) for where, piece in records.split(change.where, new, self._record_tasks)]
 
     async def _commit_batch(self, part: Partition, batch: list[_Change], urgency: Urgency) -> None:
-        if not self._permissions.owns(part):
+        if not self.permissions.owns(part):
             return
         writes: list[Write] = []
         guards = {records.PART + part.zone}
--- a/spurarch/coordination/permissions.py
+++ b/spurarch/coordination/permissions.py
@@ -46,7 +46,7 @@
 
     def fresh(self, now: float) -> bool:
         """The copy of the records is recent: what only serves placement waits while this controller may be deposed."""
-        return now - self.replica.synced_at < FRESH_S and self.steady(now)
+        return now - self.replica.synced_at < FRESH_S and self.steady(now) and self.replica.store.trusted
 
     def owns(self, part: Partition) -> bool:
         """The part is still held as it was when this was begun.
--- a/spurarch/coordination/users.py
+++ b/spurarch/coordination/users.py
@@ -24,6 +24,7 @@
 
 RETRY_S = 1
 UPGRADE_RETRY_S = 5
+DOUBT_RETRY_S = 30  # an operator has to settle what is in doubt
 GIVE_UP_S = 2.5
 SYNC_S = 1.2
 MOST_WAIT_S = 2.0
@@ -81,6 +82,12 @@
         if not self.replica.loaded:
             return error(503, "starting")
         state = self.replica.state
+        history = self.replica.store.history
+        if spec.id in state.jobs or spec.id in state.finals or (history is not None and history.record.packed):
+            # Final standings of earlier histories are no keys of their own that the transaction could be made to guard.
+            known = await self._known(spec.id)
+            if known is not None:
+                return known
         if spec.id in state.jobs or spec.id in state.finals:
             return await self._known(spec.id) or error(503, "the state service can't be reached")
         refusal = self._impossible(spec)
@@ -134,7 +141,7 @@
         if not wire.REF.fullmatch(ref):
             return error(404, "no such job")
         try:
-            return await self._known(ref) or error(404, "no such job")
+            return await self._known(ref) or self._unknown()
         except StoreUnavailableError:
             return error(503, "the state service can't be reached")
 
@@ -146,7 +153,7 @@
             for _ in range(4):
                 known = await self._known(ref)
                 if known is None:
-                    return error(404, "no such job")
+                    return self._unknown()
                 record = self.replica.state.jobs.get(ref)
                 if record is None or record.cancelled:
                     return known
@@ -163,6 +170,13 @@
         except StoreUnavailableError:
             return error(503, "the state service can't be reached")
 
+    def _unknown(self) -> Response:
+        """There is no record of the job; that it was never accepted can't be told while records may be missing."""
+        history = self.replica.store.history
+        if history is not None and history.record.uncertain:
+            return error(503, "not known since the records were rebuilt", DOUBT_RETRY_S)
+        return error(404, "no such job")
+
     async def _known(self, ref: str) -> Response | None:
         """The job's state, no older than anything that was told elsewhere before; None if it was never accepted."""
         state = self.replica.state
@@ -176,6 +190,8 @@
             final = await self.replica.read_final(ref)
         if final is None:
             return None
+        if final.state == records.IN_DOUBT:
+            return error(503, "in doubt since the records were rebuilt", DOUBT_RETRY_S)
         done = final.tasks if final.state == wire.DONE else None
         return _state(200, ref, final.state, done, 0 if done is not None else None)
 
--- /dev/null
+++ b/spurarch/protocol/recovery_messages.py
@@ -0,0 +1,93 @@
+"""What controllers tell each other while the state service's data is rebuilt: tagged tuples over MessagePack.
+
+A controller of a version that knows no recovery can't read them, which is how it is told from others.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+
+from spurarch.protocol.wire import Report
+
+
+class StoredRecord(Struct, array_like=True):
+    """A record as some copy holds it: its key, the revision of its last change, and its value as JSON."""
+
+    key: str
+    version: int
+    value: bytes
+
+
+class RevisionRequest(Struct, tag="revision?", array_like=True):
+    """Asks for the newest revision that the receiver has seen, and of which history."""
+
+    node: str
+
+
+class RevisionAnswer(Struct, tag="revision", array_like=True):
+    """The history that the sender works in, or worked in; an empty name if it knows none."""
+
+    node: str
+    history: str
+    number: int
+    revision: int
+
+
+class EvidenceRequest(Struct, tag="evidence?", array_like=True):
+    """Asks for a page of what the receiver's copy of a lost history holds, from a position on."""
+
+    node: str
+    history: str
+    position: int
+
+
+class EvidencePage(Struct, tag="evidence", array_like=True):
+    """A page of a copy of a lost history.
+
+    Only a copy that is `closed` changes no more; one that is not `loaded` holds nothing. The copy has missed no change
+    between `since` and `revision`. `position` is where the next page begins, 0 after the last.
+    """
+
+    node: str
+    boot: str
+    history: str
+    closed: bool
+    loaded: bool
+    since: int
+    revision: int
+    records: list[StoredRecord]
+    position: int
+
+
+class ReportsRequest(Struct, tag="reports?", array_like=True):
+    """Asks for workers' reports that came after so many others, in answer to the token of an epoch."""
+
+    node: str
+    epoch: int
+    after: int
+
+
+class ReportsPage(Struct, tag="reports", array_like=True):
+    """Newest reports of workers, how many have come so far, and the highest partition epoch that any worker showed."""
+
+    reports: list[Report]
+    position: int
+    highest_epoch: int
+
+
+RecoveryMessage = (
+    RevisionRequest | RevisionAnswer | EvidenceRequest | EvidencePage | ReportsRequest | ReportsPage
+)  # fmt: skip
+
+encode = msgspec.msgpack.encode
+_decoder = msgspec.msgpack.Decoder(RecoveryMessage)
+
+
+def decode(frame: bytes) -> RecoveryMessage | None:
+    """A peer's frame, or None if it is no message of this kind."""
+    try:
+        message: RecoveryMessage = _decoder.decode(frame)
+        return message
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/spurarch/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Notices that the state service lost its data, and rebuilds the records from what is left elsewhere."""
--- /dev/null
+++ b/spurarch/recovery/claim.py
@@ -0,0 +1,117 @@
+"""Only one controller rebuilds at a time: a claim in the state service, with a heartbeat.
+
+Time decides when another takes over, versions decide whether it is safe: every transaction of the rebuilding has the
+version of the claim and a key named after the rebuilding as conditions. Leases of the state service are of no use here,
+since their numbers, too, begin anew in a service that was wiped.
+"""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+from msgspec import Struct
+
+from spurarch.protocol import wire
+from spurarch.storage.history import CLAIM
+from spurarch.storage.limits import Urgency
+from spurarch.storage.store import Outcome, Store, StoreUnavailableError, Verdict
+
+HEARTBEAT_S = 1.0
+SILENT_S = 5.0  # several heartbeats: a claim that does not change for so long may be taken over
+
+
+class ClaimRecord(Struct):
+    """Who rebuilds. `epoch` is 0 until it has been chosen; `step` is for people."""
+
+    node: str
+    boot: str
+    name: str  # of the history to come
+    beat: int
+    epoch: int = 0
+    step: str = ""
+
+
+class ClaimLostError(Exception):
+    """Another controller rebuilds, or the state service lost its data once more."""
+
+
+_decoder = msgspec.json.Decoder(ClaimRecord)
+
+
+class RebuildClaim:
+    """The claim, as one controller sees it."""
+
+    def __init__(self, store: Store, node: str, boot: str) -> None:
+        self._store, self._node, self._boot = store, node, boot
+        self.record: ClaimRecord | None = None  # whoever has it
+        self._version = 0
+        self._unchanged_since = 0.0
+
+    @property
+    def mine(self) -> bool:
+        """This process rebuilds."""
+        return self.record is not None and self.record.boot == self._boot
+
+    @property
+    def version(self) -> int:
+        """The revision of the claim's last change."""
+        return self._version
+
+    async def read(self) -> None:
+        """Learns who rebuilds."""
+        item = await self._store.get(CLAIM)
+        version = item.version if item is not None else 0
+        if version != self._version or self.record is None:
+            self._version, self._unchanged_since = version, time.monotonic()
+        try:
+            self.record = _decoder.decode(item.value) if item is not None else None
+        except msgspec.DecodeError:
+            self.record = None  # nonsense: it may be written over
+
+    async def take(self, name: str) -> bool:
+        """Claims the rebuilding if nobody has it, or whoever had it is silent."""
+        await self.read()
+        silent = time.monotonic() - self._unchanged_since > SILENT_S
+        if self.record is not None and not self.mine and not silent:
+            return False
+        record = ClaimRecord(self._node, self._boot, name, 1, 0, "sealing")
+        return (await self._write(record, [], [])).verdict is Verdict.DONE
+
+    async def commit(
+        self, guards: list[wire.Guard], changes: list[wire.Put | wire.Delete], step: str, epoch: int | None = None
+    ) -> None:
+        """Makes changes as the one that rebuilds; raises if this is somebody else by now."""
+        record = self.record
+        if record is None or record.boot != self._boot:
+            raise ClaimLostError("the claim is not ours")
+        after = ClaimRecord(
+            self._node, self._boot, record.name, record.beat + 1, record.epoch if epoch is None else epoch, step
+        )
+        outcome = await self._write(after, guards, changes)
+        if outcome.verdict is Verdict.REFUSED:
+            raise StoreUnavailableError("the state service refused a change of the rebuilding")
+        if outcome.verdict is not Verdict.DONE:
+            raise ClaimLostError(f"{outcome.verdict.value} {outcome.failed}")
+
+    async def _write(
+        self, record: ClaimRecord, guards: list[wire.Guard], changes: list[wire.Put | wire.Delete]
+    ) -> Outcome:
+        own = wire.Guard(CLAIM, self._version)
+        txn = wire.Txn([own, *guards], [wire.Put(CLAIM, record), *changes])
+        outcome = await self._store.txn(txn, Urgency.MEMBERSHIP)
+        if outcome.verdict is Verdict.UNKNOWN:
+            outcome = await self._settle(record, outcome)
+        if outcome.verdict is Verdict.DONE:
+            self.record, self._version, self._unchanged_since = record, outcome.revision, time.monotonic()
+        return outcome
+
+    async def _settle(self, record: ClaimRecord, outcome: Outcome) -> Outcome:
+        """Whether a transaction without an answer was carried out: the claim that it wrote is there.
+
+        If it is not, it may still come; the changed conditions of the next one would then fail, and the claim is lost.
+        """
+        item = await self._store.get(CLAIM)
+        if item is not None and _decoder.decode(item.value) == record:
+            return Outcome(Verdict.DONE, item.version)
+        return outcome
--- /dev/null
+++ b/spurarch/recovery/commands.py
@@ -0,0 +1,95 @@
+"""`spurarch recovery`: the operators' commands."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from spurarch.protocol import wire
+from spurarch.recovery import operators
+from spurarch.recovery.operators import OperatorError
+from spurarch.settings import SettingsError, load_platform
+from spurarch.storage.store import Store, StoreUnavailableError
+from spurarch.transport.network import Network
+
+USAGE, FAILED = 2, 1
+CONNECTIONS = 2
+RATE_SHARE = 0.05
+
+
+def add_parser(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Adds the commands to the command line."""
+    text = "look at histories of records, and settle what is in doubt"
+    parser = commands.add_parser("recovery", help=text, description=text)
+    actions = parser.add_subparsers(dest="action", metavar="ACTION", required=True)
+    init = actions.add_parser("init", help="declare the first history of an installation")
+    init.add_argument("--adopt", action="store_true", help="records that are there already are whole")
+    status = actions.add_parser("status", help="which history is in force, and how far it is archived")
+    doubts = actions.add_parser("doubts", help="what can't be known since the records were rebuilt")
+    settle = actions.add_parser("settle", help="decide what is in doubt")
+    which = settle.add_mutually_exclusive_group(required=True)
+    which.add_argument("--job", metavar="REF")
+    which.add_argument("--unknown-jobs", action="store_true", help="jobs without a record were never accepted")
+    settle.add_argument("--as", dest="state", choices=[wire.DONE, wire.CANCELLED])
+    for action in (init, status, doubts, settle):
+        action.add_argument("--config", required=True, metavar="FILE", help="the platform's TOML file")
+
+
+def run_command(args: argparse.Namespace) -> int:
+    """Runs a command; returns its exit code."""
+    actions: dict[str, Callable[[Store, argparse.Namespace], Awaitable[None]]] = {
+        "init": _init, "status": _status, "doubts": _doubts, "settle": _settle,
+    }  # fmt: skip
+    try:
+        platform = load_platform(args.config)
+        store = Store(Network().client(platform.external.state, CONNECTIONS), platform.deployment.state, 1)
+        store.set_shares(RATE_SHARE, RATE_SHARE)
+        curio.run(actions[args.action], store, args)
+    except (SettingsError, OperatorError) as err:
+        print(f"spurarch: {err}", file=sys.stderr)
+        return USAGE
+    except StoreUnavailableError as err:
+        print(f"spurarch: state service: {err}", file=sys.stderr)
+        return FAILED
+    return 0
+
+
+async def _init(store: Store, args: argparse.Namespace) -> None:
+    history = await operators.declare_first_history(store, args.adopt)
+    print(f"history {history.name} is open")
+
+
+async def _status(store: Store, args: argparse.Namespace) -> None:
+    status = await operators.read_status(store)
+    if status.history is None:
+        print("no history: a new installation needs `recovery init`, a wiped one is rebuilt by its controllers")
+    else:
+        state = "open" if status.is_open else "sealed"
+        print(f"history {status.history.number} ({status.history.name}): {state}, revision {status.revision}")
+        print("jobs without a record: " + ("may have been accepted" if status.history.uncertain else "never accepted"))
+    if status.archived is not None:
+        print(f"archived: history {status.archived.name} up to revision {status.archived.revision}")
+    else:
+        print("archived: nothing yet")
+    if status.claim is not None:
+        claim = status.claim
+        print(f"last rebuilding: {claim.name} by {claim.node}, {claim.step}, epoch {claim.epoch}, beat {claim.beat}")
+    print(f"in doubt: {len(status.doubts)}")
+
+
+async def _doubts(store: Store, args: argparse.Namespace) -> None:
+    status = await operators.read_status(store)
+    for doubt in status.doubts:
+        print(f"{doubt.job}\t{doubt.kind}\t{doubt.detail}")
+
+
+async def _settle(store: Store, args: argparse.Namespace) -> None:
+    if args.unknown_jobs:
+        await operators.settle_unknown_jobs(store)
+        return
+    if args.state is None:
+        raise OperatorError("--job needs --as")
+    await operators.settle_job(store, args.job, args.state)
--- /dev/null
+++ b/spurarch/recovery/copies.py
@@ -0,0 +1,160 @@
+"""Copies of a lost history: from this controller's memory, from peers, from an archive, from the state service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+from msgspec import Struct
+
+from spurarch.protocol import recovery_messages, wire
+from spurarch.protocol.recovery_messages import EvidencePage, EvidenceRequest, StoredRecord
+from spurarch.recovery.evidence import Source, SourceKind
+from spurarch.storage import records
+from spurarch.storage.history import PACKED, HistoryRecord
+from spurarch.storage.replica import State
+from spurarch.storage.store import Store
+from spurarch.transport.http import NoAnswerError
+from spurarch.transport.network import Calls, Requests
+
+PAGE_RECORDS = 500
+PAGE_BYTES = 400_000
+CALL_S = 3.0
+ARCHIVE_PAGE = 1000
+
+
+class ArchiveHead(Struct):
+    """What an archiver serves: the newest point of a history."""
+
+    history: str
+    number: int
+    revision: int
+    records: int
+
+
+class ArchivePage(Struct):
+    """Records of the archive at one revision, from a position on; `position` is 0 after the last."""
+
+    revision: int
+    records: list[StoredRecord]
+    position: int
+
+
+PATH_HEAD, PATH_RECORDS = "/archive/head", "/archive/records"
+_head_decoder = msgspec.json.Decoder(ArchiveHead)
+_page_decoder = msgspec.msgpack.Decoder(ArchivePage)
+
+
+class PeerOutdatedError(Exception):
+    """A controller lives that does not know recovery."""
+
+
+def stored_records(state: State) -> list[StoredRecord]:
+    """All that a copy in memory holds, as it is passed on."""
+    out = [
+        StoredRecord(key, entry.version, wire.encode(entry.record))
+        for key, entry in state.entries.items()
+        if not key.startswith((records.MEMBER, records.LEADER))
+    ]
+    out += [StoredRecord(records.FINAL + job, 0, wire.encode(final)) for job, final in state.finals.items()]
+    return out
+
+
+def page_of(stored: list[StoredRecord], position: int) -> tuple[list[StoredRecord], int]:
+    """Records from a position on, as many as go into a frame, and where the next page begins; 0 after the last."""
+    out: list[StoredRecord] = []
+    size = 0
+    for record in stored[position : position + PAGE_RECORDS]:
+        if out and size + len(record.value) > PAGE_BYTES:
+            break
+        out.append(record)
+        size += len(record.value)
+    following = position + len(out)
+    return out, following if following < len(stored) else 0
+
+
+def memory_source(node: str, state: State, since: int) -> Source:
+    """This controller's own copy."""
+    source = Source(SourceKind.REPLICA, node, since, state.revision)
+    for record in stored_records(state):
+        source.take(record)
+    return source
+
+
+@dataclass(slots=True)
+class PeerCopy:
+    """A peer's copy, if it has one. One that is not `settled` has not answered, or may still change its copy."""
+
+    settled: bool
+    source: Source | None = None
+
+
+async def peer_copy(node: str, peer: Calls, sender: str, history: str) -> PeerCopy:
+    """Asks a peer for its copy of a history."""
+    source: Source | None = None
+    position = 0
+    while True:
+        answer = await peer.call(recovery_messages.encode(EvidenceRequest(sender, history, position)), CALL_S)
+        if answer is None:
+            return PeerCopy(False)
+        page = recovery_messages.decode(answer)
+        if not isinstance(page, EvidencePage):
+            raise PeerOutdatedError(node)
+        if not page.closed or not page.loaded or page.history != history:
+            return PeerCopy(page.closed)
+        if source is None:
+            source = Source(SourceKind.REPLICA, node, page.since, page.revision)
+        for record in page.records:
+            source.take(record)
+        if not page.position:
+            return PeerCopy(True, source)
+        position = page.position
+
+
+async def archive_head(client: Requests) -> ArchiveHead | None:
+    """What an archiver has; None if it can't be asked."""
+    try:
+        status, body = await client.request("GET", PATH_HEAD, None, CALL_S)
+        return _head_decoder.decode(body) if status == 200 else None
+    except (NoAnswerError, msgspec.DecodeError):
+        return None
+
+
+async def archive_source(client: Requests, history: str, kind: SourceKind = SourceKind.ARCHIVE) -> Source | None:
+    """The archive of a history; None if it can't be had whole."""
+    source: Source | None = None
+    position = 0
+    while True:
+        target = f"{PATH_RECORDS}?history={history}&position={position}"
+        try:
+            status, body = await client.request("GET", target, None, CALL_S)
+            page = _page_decoder.decode(body) if status == 200 else None
+        except (NoAnswerError, msgspec.DecodeError):
+            return None
+        if page is None or (source is not None and source.revision != page.revision):
+            return None
+        if source is None:
+            source = Source(kind, "archive", 0, page.revision)
+        for record in page.records:
+            source.take(record)
+        if not page.position:
+            return source
+        position = page.position
+
+
+async def remaining_source(store: Store, history: HistoryRecord) -> Source:
+    """What the state service still holds of a history, whose marker must be gone."""
+    source = Source(SourceKind.REMAINS, "state service", 0, 0)
+    for prefix in (records.LIVE, records.FINAL, PACKED):
+        after: str | None = None
+        while True:
+            page = await store.page(history.prefix + prefix, after)
+            source.revision = max(source.revision, page.revision)
+            for item in page.items:
+                key = item.key[len(history.prefix) :]
+                if not key.startswith((records.MEMBER, records.LEADER)):
+                    source.take(StoredRecord(key, item.version, bytes(item.value)))
+            if not page.more or not page.items:
+                break
+            after = page.items[-1].key
+    return source
--- /dev/null
+++ b/spurarch/recovery/launch.py
@@ -0,0 +1,46 @@
+"""Puts a controller and its recovery together."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from spurarch.coordination.controller import Controller
+from spurarch.recovery.coverage import ArchiveProgress
+from spurarch.recovery.service import RecoveryService
+from spurarch.settings import Platform, Tuning
+from spurarch.storage.history import HistoryGuard
+from spurarch.storage.records import IN_DOUBT, FinalRecord
+from spurarch.transport.network import Network
+
+
+class RecoveryExtension:
+    """The parts of recovery that one controller is given; a controller that begins anew gets new ones.
+
+    `finals` are final standings that an earlier controller of this process knew: they stay true in every history.
+    """
+
+    def __init__(self, tuning: Tuning, finals: Mapping[str, FinalRecord]) -> None:
+        self._finals = finals
+        self.guard = HistoryGuard()
+        self.coverage = ArchiveProgress(self.guard, tuning.archive_patience_s, tuning.archive_away == "hold")
+
+    def attach(self, controller: Controller) -> RecoveryService:
+        """Makes the service for a controller."""
+        controller.replica.state.finals.update(self._finals)
+        return RecoveryService(
+            controller.platform, controller.tuning, controller.network, self.guard, controller.replica,
+            controller.holder, controller.holder.permissions, controller.cloud, controller.peers, controller.boot,
+        )  # fmt: skip
+
+
+def controller_with_recovery(
+    platform: Platform, tuning: Tuning, network: Network | None = None, boot: str | None = None,
+    before: Controller | None = None,
+) -> Controller:  # fmt: skip
+    """A controller that notices lost data and takes part in rebuilding it. Its `run` ends when it has to begin anew.
+
+    `before` is the controller of this process that did.
+    """
+    finals = before.replica.state.finals if before is not None else {}
+    certain = {job: final for job, final in finals.items() if final.state != IN_DOUBT}
+    return Controller(platform, tuning, network, boot, extension=RecoveryExtension(tuning, certain))
--- /dev/null
+++ b/spurarch/recovery/merge.py
@@ -0,0 +1,316 @@
+"""Makes one picture out of the evidence. Pure: the same evidence in any order, once or twice, gives the same picture.
+
+The rules, from the strongest:
+  1. A final standing beats everything known of its job. Two that differ leave the job in doubt.
+  2. Among copies of one history, the change with the highest revision wins, and a copy that is complete at a revision
+     proves that what it lacks was gone by then. A job that was alive in one copy, is gone in a newer one and has no final
+     standing anywhere is over, nobody knows how: it is in doubt, unless it was cancelled.
+  3. A worker's report that follows the token of this rebuilding is the whole truth of that worker: what it shows is
+     there, what it lacks is not, and nothing sent to it earlier acts any more. An end beats an attempt, a higher attempt a
+     lower one.
+  4. A task that the records put on a worker that was not heard stays on it: only the ordinary proofs of its partition's
+     owner free it.
+  5. All other tasks that have not ended go back to the leader, who admits them anew within the limits of their teams.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from msgspec import Struct
+
+from spurarch.protocol import wire
+from spurarch.recovery.evidence import Evidence, Source, SourceKind, Versioned
+from spurarch.storage import records
+from spurarch.storage.records import (
+    AdmissionRecord,
+    AllocationKey,
+    AllocationRecord,
+    FinalRecord,
+    JobRecord,
+    PartitionRecord,
+    TaskEntry,
+)
+
+ATTEMPTS_UNSEEN = 1000  # attempts that may have been made without a trace, where records may be missing
+
+
+_COPIES = {SourceKind.REPLICA, SourceKind.ARCHIVE}
+
+
+class DoubtKind(enum.Enum):
+    """What can't be known."""
+
+    OUTCOME = "outcome"  # the job is over; whether done or cancelled is not on record
+    CONFLICT = "conflict"  # two final standings
+    UNKNOWN_JOB = "unknown job"  # a worker runs a task of a job that no record describes
+
+
+class Doubt(Struct, frozen=True, order=True):
+    """Something that an operator has to settle."""
+
+    job: str
+    kind: str  # of `DoubtKind`
+    detail: str
+
+
+@dataclass(slots=True)
+class Picture:
+    """The records to begin the next history with."""
+
+    jobs: dict[str, JobRecord] = field(default_factory=dict)
+    admitted: dict[str, AdmissionRecord] = field(default_factory=dict)
+    allocations: dict[AllocationKey, AllocationRecord] = field(default_factory=dict)
+    finals: dict[str, FinalRecord] = field(default_factory=dict)
+    doubts: list[Doubt] = field(default_factory=list)
+    set_aside: int = 0  # records and reports that make no sense
+    uncertain: bool = False  # jobs may have been accepted or ended of which there is no trace
+
+
+@dataclass(frozen=True, slots=True)
+class _Placement:
+    """A task on a machine, as a record or a report has it."""
+
+    attempt: int
+    zone: str
+    machine: str
+    session: int
+
+
+@dataclass(slots=True)
+class _Task:
+    """What is known of one task."""
+
+    attempt: int = 0
+    ended: bool = False
+    zone: str = ""
+    recorded: _Placement | None = None
+    reported: _Placement | None = None
+
+
+def merge(evidence: Evidence, tasks_per_record: int) -> Picture:
+    """The picture that the evidence gives."""
+    return _Merger(evidence, tasks_per_record).run()
+
+
+def alive_records(sources: Iterable[Source]) -> dict[str, Versioned]:
+    """The records that were alive at the end of a history, by copies of it."""
+    copies = list(sources)
+    newest: dict[str, Versioned] = {}
+    for source in copies:
+        for key, found in source.alive.items():
+            if key not in newest or found.version > newest[key].version:
+                newest[key] = found
+    return {
+        key: found
+        for key, found in newest.items()
+        if not any(key not in source.alive and source.revision >= found.version for source in copies)
+    }
+
+
+def highest_epoch(sources: Iterable[Source]) -> int:
+    """The highest partition epoch on any record."""
+    return max(
+        (
+            found.record.epoch
+            for source in sources
+            for found in source.alive.values()
+            if isinstance(found.record, PartitionRecord)
+        ),
+        default=0,
+    )
+
+
+def machines_on_record(sources: Iterable[Source]) -> set[str]:
+    """Machines that some copy knows, whether by a record of their own or by a task on them."""
+    out: set[str] = set()
+    for source in sources:
+        for key, found in source.alive.items():
+            if key.startswith(records.MACHINE):
+                out.add(records.parse_machine_key(key)[1])
+            elif isinstance(found.record, AllocationRecord):
+                out.update(entry.machine for entry in found.record.tasks if entry.state == records.ASSIGNED)
+    return out
+
+
+class _Merger:
+    """One merge, step by step."""
+
+    def __init__(self, evidence: Evidence, tasks_per_record: int) -> None:
+        self._evidence, self._tasks_per_record = evidence, tasks_per_record
+        # What the state service still holds may have been written to since it was rolled back, and an ancestor counts
+        # other revisions: these tell of jobs and final standings only, unless there is nothing else.
+        copies = [source for source in evidence.sources if source.kind in _COPIES]
+        self._copies = copies or evidence.sources
+        self._alive = alive_records(self._copies)
+        self._tasks: dict[str, dict[int, _Task]] = defaultdict(lambda: defaultdict(_Task))
+        self._out = Picture()
+
+    def run(self) -> Picture:
+        out = self._out
+        out.set_aside = sum(source.unreadable for source in self._evidence.sources)
+        out.uncertain = not self._finals_complete()
+        self._take_finals()
+        self._take_jobs()
+        self._take_allocations()
+        for _, report in sorted(self._evidence.reports.items()):
+            self._take_report(report)
+        for job in sorted(out.jobs):
+            self._write_job(job)
+        out.doubts = sorted(set(out.doubts))
+        return out
+
+    def _finals_complete(self) -> bool:
+        """Every controller gave its copy, and together with an archive they reach back to the beginning."""
+        if self._evidence.uncertain:
+            return False
+        archived = [s.revision for s in self._evidence.sources if s.kind is SourceKind.ARCHIVE]
+        replicas = [s.since for s in self._evidence.sources if s.kind is SourceKind.REPLICA]
+        return self._evidence.complete and bool(archived and replicas) and min(replicas) <= max(archived)
+
+    # Jobs
+
+    def _take_finals(self) -> None:
+        found: dict[str, dict[str, FinalRecord]] = defaultdict(dict)
+        for source in self._evidence.sources:
+            for job, final in source.finals.items():
+                found[job][final.state] = final
+        for job, states in found.items():
+            certain = sorted(state for state in states if state != records.IN_DOUBT)
+            if len(certain) == 1:
+                self._out.finals[job] = states[certain[0]]
+            elif certain:
+                self._doubt(job, DoubtKind.CONFLICT, " and ".join(certain), states[certain[0]].tasks)
+            else:
+                self._doubt(job, DoubtKind.OUTCOME, "in doubt before", states[records.IN_DOUBT].tasks)
+
+    def _take_jobs(self) -> None:
+        cancelled: dict[str, JobRecord] = {}
+        known: dict[str, JobRecord] = {}
+        for source in sorted(self._evidence.sources, key=_age):
+            for key, found in source.alive.items():
+                if isinstance(found.record, JobRecord):
+                    job = key[len(records.JOB) :]
+                    known[job] = found.record
+                    if found.record.cancelled:
+                        cancelled[job] = found.record
+        for job, record in known.items():
+            if job in self._out.finals:
+                continue
+            newest = self._alive.get(records.JOB + job)
+            if job in cancelled:
+                # A cancellation is never taken back, so this job can only have ended as cancelled.
+                self._out.jobs[job] = cancelled[job]
+            elif newest is not None and isinstance(newest.record, JobRecord):
+                self._out.jobs[job] = newest.record
+            else:
+                self._doubt(job, DoubtKind.OUTCOME, "alive in an older copy, gone in a newer one", record.spec.tasks)
+
+    def _doubt(self, job: str, kind: DoubtKind, detail: str, tasks: int) -> None:
+        self._out.doubts.append(Doubt(job, kind.value, detail))
+        if kind is not DoubtKind.UNKNOWN_JOB:
+            self._out.finals[job] = FinalRecord(records.IN_DOUBT, tasks)
+
+    # Tasks
+
+    def _take_allocations(self) -> None:
+        for key, found in sorted(self._alive.items()):
+            if isinstance(found.record, AllocationRecord):
+                where = AllocationKey.parse(key)
+                if where.job in self._out.jobs:
+                    for entry in found.record.tasks:
+                        self._take_entry(where, entry)
+
+    def _take_entry(self, where: AllocationKey, entry: TaskEntry) -> None:
+        task = self._tasks[where.job][entry.index]
+        task.ended = task.ended or entry.state == records.ENDED
+        if entry.attempt >= task.attempt:
+            task.attempt, task.zone = entry.attempt, where.zone
+        if entry.state == records.ASSIGNED:
+            place = _Placement(entry.attempt, where.zone, entry.machine, entry.session)
+            task.recorded = _higher(task.recorded, place)
+
+    def _take_report(self, report: wire.Report) -> None:
+        for seen in report.tasks:
+            key = wire.split_task(seen.task)
+            if key is None:
+                self._out.set_aside += 1
+                continue
+            job, index = key
+            record = self._out.jobs.get(job)
+            if record is None:
+                self._note_unknown(job, report, seen)
+            elif index >= record.spec.tasks:
+                self._out.set_aside += 1
+            else:
+                self._take_seen(record, report, seen, self._tasks[job][index])
+
+    def _take_seen(self, record: JobRecord, report: wire.Report, seen: wire.TaskReport, task: _Task) -> None:
+        task.attempt = max(task.attempt, seen.attempt)
+        task.zone = task.zone or report.zone
+        if seen.state != wire.EXITED:
+            place = _Placement(seen.attempt, report.zone, report.machine, report.session)
+            task.reported = _higher(task.reported, place)
+        elif seen.why == wire.WHY_DONE and record.spec.kind != wire.SERVICE:
+            task.ended = True
+
+    def _note_unknown(self, job: str, report: wire.Report, seen: wire.TaskReport) -> None:
+        """A task of a job that is over leaves by the ordinary way; one of a job that nobody knows is told as well."""
+        if job not in self._out.finals and seen.state != wire.EXITED:
+            self._doubt(job, DoubtKind.UNKNOWN_JOB, f"runs on {report.machine}", 0)
+
+    def _placed(self, task: _Task) -> _Placement | None:
+        """Where the task is, or may be."""
+        place = _higher(task.recorded, task.reported)
+        if place is not None and place is task.recorded and place.machine in self._evidence.reports:
+            return task.reported  # its machine was heard, and lacks it
+        return place
+
+    # Records
+
+    def _write_job(self, job: str) -> None:
+        record, tasks = self._out.jobs[job], self._tasks.get(job, {})
+        admitted = max(tasks, default=-1) + 1
+        by_zone: dict[str, list[TaskEntry]] = defaultdict(list)
+        spare = next((task.zone for _, task in sorted(tasks.items()) if task.zone), "")
+        attempt = max((task.attempt for task in tasks.values()), default=0)
+        for index in range(admitted):
+            task = tasks.get(index) or _Task()
+            if record.spec.kind == wire.GANG:
+                task.attempt = attempt  # one for all members
+            place = None if task.ended else self._placed(task)
+            zone = place.zone if place is not None else task.zone or spare
+            by_zone[zone].append(self._entry(index, task, place))
+        chunk = 0
+        for zone, entries in sorted(by_zone.items()):
+            for at in range(0, len(entries), self._tasks_per_record):
+                where = AllocationKey(zone, job, chunk)
+                self._out.allocations[where] = AllocationRecord(entries[at : at + self._tasks_per_record])
+                chunk += 1
+        if admitted:
+            self._out.admitted[job] = AdmissionRecord(admitted, chunk)
+
+    def _entry(self, index: int, task: _Task, place: _Placement | None) -> TaskEntry:
+        if task.ended:
+            return TaskEntry(index, records.ENDED, task.attempt)
+        if place is not None:
+            return TaskEntry(index, records.ASSIGNED, place.attempt, place.machine, place.session)
+        unseen = ATTEMPTS_UNSEEN if self._out.uncertain else 0
+        return TaskEntry(index, records.RETURNED, task.attempt + unseen)
+
+
+def _age(source: Source) -> tuple[bool, int, str, str]:
+    """Older copies first."""
+    return source.kind is not SourceKind.ANCESTOR, source.revision, source.kind.value, source.name
+
+
+def _higher(one: _Placement | None, other: _Placement | None) -> _Placement | None:
+    """The placement of the higher attempt; of equal ones that on the later session, then by name."""
+    if one is None or other is None:
+        return one or other
+    if (one.attempt, one.session) != (other.attempt, other.session):
+        return max(one, other, key=lambda place: (place.attempt, place.session))
+    return min(one, other, key=lambda place: place.machine)
--- /dev/null
+++ b/spurarch/recovery/operators.py
@@ -0,0 +1,142 @@
+"""What operators ask of the state service about histories, and what they settle."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass, field
+
+import msgspec
+
+from spurarch.protocol import wire
+from spurarch.recovery.claim import ClaimRecord
+from spurarch.recovery.merge import Doubt
+from spurarch.storage import records
+from spurarch.storage.history import (
+    ARCHIVED,
+    CLAIM,
+    CURRENT,
+    DOUBT,
+    OPEN,
+    ArchivedRecord,
+    HistoryRecord,
+    OpenMarker,
+    decode_archived,
+    decode_history,
+)
+from spurarch.storage.limits import Urgency
+from spurarch.storage.records import FinalRecord
+from spurarch.storage.store import Store, Verdict
+
+
+class OperatorError(Exception):
+    """A command can't be carried out; the message says why."""
+
+
+@dataclass(slots=True)
+class HistoryStatus:
+    """What the state service says of its histories."""
+
+    history: HistoryRecord | None = None
+    is_open: bool = False
+    revision: int = 0
+    archived: ArchivedRecord | None = None
+    claim: ClaimRecord | None = None
+    doubts: list[Doubt] = field(default_factory=list)
+
+
+async def read_status(store: Store) -> HistoryStatus:
+    """Reads it."""
+    out = HistoryStatus()
+    page = await store.page(CURRENT, None)
+    out.revision = page.revision
+    for item in page.items:
+        if item.key == CURRENT:
+            out.history = decode_history(item.value)
+    if out.history is not None:
+        out.is_open = await store.get(OPEN + out.history.name) is not None
+        out.doubts = await read_doubts(store, out.history)
+    archived, claim = await store.get(ARCHIVED), await store.get(CLAIM)
+    out.archived = decode_archived(archived.value) if archived is not None else None
+    out.claim = msgspec.json.decode(claim.value, type=ClaimRecord) if claim is not None else None
+    return out
+
+
+async def read_doubts(store: Store, history: HistoryRecord) -> list[Doubt]:
+    """What is in doubt in a history."""
+    out: list[Doubt] = []
+    after: str | None = None
+    while True:
+        page = await store.page(history.prefix + DOUBT, after)
+        out += [msgspec.json.decode(item.value, type=Doubt) for item in page.items]
+        if not page.more or not page.items:
+            return out
+        after = page.items[-1].key
+
+
+async def declare_first_history(store: Store, adopt: bool) -> HistoryRecord:
+    """Says that the state service's data is a new installation, or one that had no recovery so far.
+
+    Nobody else can tell a new installation from one that was wiped, so no controller ever does this by itself.
+    """
+    if await store.get(CURRENT) is not None:
+        raise OperatorError("there is a history already (recovery status)")
+    page = await store.page(records.LIVE, None)
+    own = [item.key for item in page.items if not item.key.startswith((records.MEMBER, records.LEADER, records.PART))]
+    if own and not adopt:
+        raise OperatorError("there are records already: --adopt declares them whole")
+    history = HistoryRecord(os.urandom(6).hex(), 1)
+    txn = wire.Txn(
+        [wire.Guard(CURRENT, 0), wire.Guard(CLAIM, 0)],
+        [wire.Put(CURRENT, history), wire.Put(OPEN + history.name, OpenMarker(1))],
+    )
+    await _commit(store, txn)
+    return history
+
+
+async def settle_job(store: Store, job: str, state: str) -> None:
+    """Decides what a job in doubt ended as."""
+    history = await _history(store)
+    doubt = await store.get(history.prefix + DOUBT + job)
+    if doubt is None:
+        raise OperatorError(f"{job} is not in doubt")
+    key = history.prefix + records.FINAL + job
+    known = await store.get(key)
+    final = msgspec.json.decode(known.value, type=FinalRecord) if known is not None else FinalRecord(state, 0)
+    if final.state not in (records.IN_DOUBT, state):
+        raise OperatorError(f"{job} is {final.state} on record")
+    guards = await _guards(store, history)
+    guards += [wire.Guard(key, known.version if known is not None else 0), wire.Guard(doubt.key, doubt.version)]
+    changes: list[wire.Put | wire.Delete] = [wire.Put(key, FinalRecord(state, final.tasks)), wire.Delete(doubt.key)]
+    await _commit(store, wire.Txn(guards, changes))
+
+
+async def settle_unknown_jobs(store: Store) -> None:
+    """Says that jobs which are not on record were never accepted: they get 404 from now on."""
+    history = await _history(store)
+    if not history.uncertain:
+        raise OperatorError("nothing is uncertain")
+    current = await store.get(CURRENT)
+    version = current.version if current is not None else 0
+    certain = msgspec.structs.replace(history, uncertain=False)
+    guards = [*await _guards(store, history), wire.Guard(CURRENT, version)]
+    await _commit(store, wire.Txn(guards, [wire.Put(CURRENT, certain)]))
+
+
+async def _history(store: Store) -> HistoryRecord:
+    item = await store.get(CURRENT)
+    if item is None:
+        raise OperatorError("there is no history (recovery init)")
+    return decode_history(item.value)
+
+
+async def _guards(store: Store, history: HistoryRecord) -> list[wire.Guard]:
+    marker = await store.get(OPEN + history.name)
+    if marker is None:
+        raise OperatorError("the records are being rebuilt")
+    return [wire.Guard(marker.key, marker.version)]
+
+
+async def _commit(store: Store, txn: wire.Txn) -> None:
+    outcome = await store.txn(txn, Urgency.USERS)
+    if outcome.verdict is not Verdict.DONE:
+        raise OperatorError(f"not done ({outcome.verdict.value}): look at `recovery status`, and try again")
--- /dev/null
+++ b/spurarch/recovery/rebuild.py
@@ -0,0 +1,388 @@
+"""One rebuilding, by the controller that has claimed it: seal, gather, collect, merge, write, open.
+
+Nothing that it writes is read by anybody before the last transaction opens the new history, so a rebuilding that ends at
+any step leaves only keys that nobody reads, and the next one begins from the start under a new name.
+"""
+
+from __future__ import annotations
+
+import enum
+import logging
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+import curio
+import msgspec
+
+from spurarch.protocol import recovery_messages, wire
+from spurarch.protocol.recovery_messages import ReportsPage, ReportsRequest
+from spurarch.recovery import copies
+from spurarch.recovery.claim import HEARTBEAT_S, RebuildClaim
+from spurarch.recovery.collector import ReportCollector
+from spurarch.recovery.evidence import Evidence, Source, SourceKind
+from spurarch.recovery.merge import Picture, highest_epoch, machines_on_record, merge
+from spurarch.settings import Deployment
+from spurarch.storage import records
+from spurarch.storage.cloud import Cloud, CloudError
+from spurarch.storage.history import (
+    CURRENT,
+    DOUBT,
+    OPEN,
+    PACKED,
+    REBUILD,
+    VERIFY_AFTER_S,
+    HistoryRecord,
+    OpenMarker,
+    PackedFinals,
+    packed_key,
+)
+from spurarch.storage.records import IN_DOUBT, FinalRecord, LeaderRecord, MemberRecord, PartitionRecord
+from spurarch.storage.store import Store
+from spurarch.transport.network import Calls, Requests
+
+log = logging.getLogger(__name__)
+
+PAUSE_S = 0.3
+PEERS_WAIT_S = 8.0  # for a peer that does not answer, or has not noticed the loss
+ARCHIVE_WAIT_S = 30.0  # for an archive, where not every controller lived on
+OPEN_AFTER_LEAST_S = VERIFY_AFTER_S + 1.0  # so that no reader's gap can span the old history and a grown new one
+REPORTS_WAITED = 3.0  # intervals of reports, where only knowledge can be gained by waiting
+EPOCHS_UNSEEN = 1 << 16  # changes of owners that may have happened without a trace
+EPOCHS_MOST = 1 << 27
+BOUND_DRIFT, BOUND_MARGIN_S = 1.001, 1.0
+PACKED_FINAL_BYTES = 60  # of one packed final standing as JSON, with room for a long name
+CALL_S = 2.0
+
+
+class RebuildRefusedError(Exception):
+    """The records can't be rebuilt now; the message says why."""
+
+
+class Step(enum.Enum):
+    """Where a rebuilding stands."""
+
+    SEALING = "sealing"
+    GATHERING = "gathering"
+    COLLECTING = "collecting"
+    WRITING = "writing"
+    OPENED = "opened"
+
+
+_NEXT = {
+    Step.SEALING: Step.GATHERING,
+    Step.GATHERING: Step.COLLECTING,
+    Step.COLLECTING: Step.WRITING,
+    Step.WRITING: Step.OPENED,
+}
+
+
+@dataclass(slots=True)
+class Surroundings:
+    """What a rebuilding reaches beyond the claim. `own` gives this controller's copy, if it has one."""
+
+    node: str
+    deployment: Deployment
+    store: Store  # without a history: all keys as they are
+    cloud: Cloud
+    peers: dict[str, Calls]
+    archive: Requests | None
+    collector: ReportCollector
+    own: Callable[[], Source | None]
+
+
+@dataclass(slots=True)
+class _Gathered:
+    """Copies of the lost history, and the controllers that gave theirs or at least know recovery."""
+
+    sources: list[Source] = field(default_factory=list)
+    aware: set[str] = field(default_factory=set)
+    complete: bool = False
+
+
+class Rebuilding:
+    """One attempt to rebuild the records, under a name of its own."""
+
+    def __init__(self, around: Surroundings, claim: RebuildClaim, name: str, lost: HistoryRecord | None) -> None:
+        self._around, self._claim, self._name = around, claim, name
+        self._lost = lost  # None where not even the name of the lost history is known
+        self.step = Step.SEALING
+        self._rebuild_version = 0
+        self._sealed_at = 0.0
+        self._epoch = 0
+        self._positions: dict[str, int] = {}
+        self._beat_at = 0.0
+
+    async def run(self) -> HistoryRecord:
+        """Goes through all steps; the history that was opened."""
+        lost = await self._seal()
+        gathered = await self._gather(lost)
+        evidence = await self._collect(lost, gathered)
+        picture = merge(evidence, records.tasks_per_record(self._around.deployment.state.value_bytes))
+        log.info(
+            "rebuilt: %d jobs, %d final standings, %d in doubt, %d set aside, %s", len(picture.jobs),
+            len(picture.finals), len(picture.doubts), picture.set_aside, "uncertain" if picture.uncertain else "certain",
+        )  # fmt: skip
+        return await self._write(lost, picture)
+
+    def _advance(self, step: Step) -> None:
+        if _NEXT[self.step] is not step:
+            raise RuntimeError(f"{self.step} -> {step}")
+        self.step = step
+        log.info("rebuilding %s: %s", self._name, step.value)
+
+    async def _commit(self, changes: list[wire.Put | wire.Delete], guards: list[wire.Guard] | None = None) -> None:
+        own = [wire.Guard(REBUILD + self._name, self._rebuild_version)] if self._rebuild_version else []
+        await self._claim.commit([*own, *(guards or [])], changes, self.step.value, self._epoch)
+        self._beat_at = time.monotonic()
+
+    async def _beat(self) -> None:
+        if time.monotonic() - self._beat_at > HEARTBEAT_S:
+            await self._commit([])
+
+    # Sealing
+
+    async def _seal(self) -> HistoryRecord:
+        """Ends the lost history: from here on, no transaction of it can succeed."""
+        store = self._around.store
+        item = await store.get(CURRENT)
+        current = msgspec.json.decode(item.value, type=HistoryRecord) if item is not None else None
+        lost = max((h for h in (current, self._lost) if h is not None), key=lambda h: h.number, default=None)
+        if lost is None:
+            raise RebuildRefusedError("no history is known: is this a new installation? (recovery init)")
+        changes: list[wire.Put | wire.Delete] = [wire.Put(REBUILD + self._name, OpenMarker(lost.number + 1))]
+        guards = [wire.Guard(REBUILD + self._name, 0)]
+        for name in dict.fromkeys(h.name for h in (current, lost) if h is not None):
+            marker = await store.get(OPEN + name)
+            if marker is not None:
+                changes.append(wire.Delete(OPEN + name))
+                guards.append(wire.Guard(OPEN + name, marker.version))
+        await self._commit(changes, guards)
+        self._rebuild_version = self._claim.version
+        self._sealed_at = time.monotonic()
+        return lost
+
+    # Copies
+
+    async def _gather(self, lost: HistoryRecord) -> _Gathered:
+        """Copies of the lost history from all who have one."""
+        self._advance(Step.GATHERING)
+        around, out = self._around, _Gathered()
+        own = around.own()
+        if own is not None:
+            out.sources.append(own)
+        given = await self._ask_peers(lost.name, out)
+        out.complete = own is not None and given == set(around.peers)
+        archive = await self._ask_archive(lost.name, out.complete)
+        if archive is not None:
+            out.sources.append(archive)
+        elif lost.parent and around.archive is not None:
+            # The history was lost before it was archived; what was over before it began is in its parent's archive.
+            ancestor = await copies.archive_source(around.archive, lost.parent, SourceKind.ANCESTOR)
+            if ancestor is not None:
+                out.sources.append(ancestor)
+        remains = await copies.remaining_source(around.store, lost)
+        if remains.alive or remains.finals:
+            out.sources.append(remains)
+        if not out.sources:
+            raise RebuildRefusedError("no copy of the records is left: neither a controller's nor an archive")
+        await self._refuse_outdated(out.aware)
+        return out
+
+    async def _ask_peers(self, history: str, out: _Gathered) -> set[str]:
+        """Waits for every peer's copy for a while, since nobody else may know what a peer has confirmed."""
+        around, waiting, given = self._around, dict(self._around.peers), set[str]()
+        deadline = time.monotonic() + PEERS_WAIT_S
+        while waiting and time.monotonic() < deadline:
+            for node, peer in list(waiting.items()):
+                try:
+                    copy = await copies.peer_copy(node, peer, around.node, history)
+                except copies.PeerOutdatedError:
+                    raise RebuildRefusedError(f"controller {node} runs a version that knows no recovery") from None
+                if copy.settled:
+                    del waiting[node]
+                if copy.source is not None:
+                    given.add(node)
+                    out.sources.append(copy.source)
+                await self._beat()
+            await curio.sleep(PAUSE_S)
+        out.aware = {around.node, *around.peers} - set(waiting)
+        return given
+
+    async def _ask_archive(self, history: str, complete: bool) -> Source | None:
+        if self._around.archive is None:
+            return None
+        deadline = time.monotonic() + (PEERS_WAIT_S if complete else ARCHIVE_WAIT_S)
+        while time.monotonic() < deadline:
+            source = await copies.archive_source(self._around.archive, history)
+            if source is not None:
+                return source
+            await self._beat()
+            await curio.sleep(PAUSE_S)
+        log.warning("the archive of history %s can't be had", history)
+        return None
+
+    async def _refuse_outdated(self, aware: set[str]) -> None:
+        """A version that knows no recovery would make itself a member of the empty state service, and lead."""
+        page = await self._around.store.page(records.MEMBER, None)
+        for item in page.items:
+            member = records.decode(item.key, item.value)
+            if isinstance(member, MemberRecord) and member.node not in aware and await self._outdated(member.node):
+                raise RebuildRefusedError(f"controller {member.node} runs a version that knows no recovery")
+
+    async def _outdated(self, node: str) -> bool:
+        peer = self._around.peers.get(node)
+        if peer is None:
+            return True
+        request = recovery_messages.encode(recovery_messages.RevisionRequest(self._around.node))
+        answer = await peer.call(request, CALL_S)
+        return answer is None or recovery_messages.decode(answer) is None
+
+    # Reports
+
+    async def _collect(self, lost: HistoryRecord, gathered: _Gathered) -> Evidence:
+        """Gives every worker a token above all that were ever given, until nothing unseen can run any more.
+
+        A task is recorded before it is started. Where every controller gave its copy, nothing can run that no copy has,
+        and a worker that is not heard is waited for only briefly. Otherwise it may run what only a controller that has
+        ended knew of; whoever answered it last has stopped so early that its lease is over after `cancel_s`.
+        """
+        self._advance(Step.COLLECTING)
+        evidence = Evidence(gathered.sources, {}, gathered.complete, lost.uncertain)
+        await self._choose_epoch(lost, gathered.sources)
+        copied = [s for s in gathered.sources if s.kind is SourceKind.REPLICA]
+        needed = machines_on_record(copied if gathered.complete else gathered.sources)
+        listed = gathered.complete
+        deployment = self._around.deployment
+        patience_s = deployment.workers.cancel_s * BOUND_DRIFT + BOUND_MARGIN_S
+        if gathered.complete:
+            patience_s = OPEN_AFTER_LEAST_S + REPORTS_WAITED * deployment.workers.report_s
+        bound_at = self._sealed_at + patience_s
+        list_at = self._sealed_at + 2 * deployment.cloud.list_lag_s
+        while time.monotonic() < bound_at:
+            await self._take_reports(evidence)
+            now = time.monotonic()
+            if not listed and now >= list_at:
+                listed = await self._add_listed(needed)
+            if listed and now - self._sealed_at >= OPEN_AFTER_LEAST_S and needed <= set(evidence.reports):
+                break
+            await self._beat()
+            await curio.sleep(PAUSE_S)
+        await self._take_reports(evidence)
+        return evidence
+
+    async def _choose_epoch(self, lost: HistoryRecord, sources: list[Source]) -> None:
+        """An epoch above all that were given, whether any worker has shown it or not."""
+        seen = max(highest_epoch(sources), self._around.collector.highest_epoch, lost.epoch)
+        self._epoch = seen + EPOCHS_UNSEEN
+        if self._epoch > EPOCHS_MOST:
+            raise RebuildRefusedError("partition epochs are used up")
+        await self._commit([])
+        self._around.collector.begin(self._epoch)
+        self._positions.clear()
+
+    async def _take_reports(self, evidence: Evidence) -> None:
+        """Newest reports from all controllers."""
+        collector = self._around.collector
+        shown = collector.highest_epoch
+        self._positions[self._around.node] = self._take_page(
+            evidence, *collector.page(self._epoch, self._positions.get(self._around.node, 0))
+        )
+        for node, peer in self._around.peers.items():
+            await self._beat()
+            position = self._positions.get(node, 0)
+            request = ReportsRequest(self._around.node, self._epoch, position)
+            answer = await peer.call(recovery_messages.encode(request), CALL_S)
+            page = recovery_messages.decode(answer) if answer is not None else None
+            if isinstance(page, ReportsPage):
+                self._positions[node] = self._take_page(evidence, page.reports, page.position)
+                shown = max(shown, page.highest_epoch)
+        if shown > self._epoch:
+            raise RebuildRefusedError(f"a worker has shown epoch {shown}: beginning anew above it")
+
+    @staticmethod
+    def _take_page(evidence: Evidence, reports: list[wire.Report], position: int) -> int:
+        for report in reports:
+            evidence.take_report(report)
+        return position
+
+    async def _add_listed(self, needed: set[str]) -> bool:
+        """Machines that only a controller that has ended may have known."""
+        try:
+            machines = await self._around.cloud.machines()
+        except CloudError as err:
+            log.info("cloud: %s", err)
+            return False
+        needed.update(machine.id for machine in machines if machine.state != wire.FAILED)
+        return True
+
+    # Records
+
+    async def _write(self, lost: HistoryRecord, picture: Picture) -> HistoryRecord:
+        """Writes the picture under a new prefix and opens it."""
+        self._advance(Step.WRITING)
+        packed = self._pack(picture.finals)
+        history = HistoryRecord(
+            self._name, lost.number + 1, self._epoch, len(packed), picture.uncertain, lost.name
+        )  # fmt: skip
+        puts: list[wire.Put] = []
+        for key, value in self._records_of(picture, packed):
+            puts.append(wire.Put(history.prefix + key, value))
+        for batch in self._batches(puts):
+            await self._commit(list(batch))
+        opening: list[wire.Put | wire.Delete] = [
+            wire.Put(CURRENT, history), wire.Put(OPEN + self._name, OpenMarker(history.number)),
+            wire.Delete(REBUILD + self._name),
+            # A version that knows no history would lead in the first one's keys; this leader never ends.
+            wire.Put(records.LEADER, LeaderRecord("", "")),
+        ]  # fmt: skip
+        await self._commit(opening, [wire.Guard(OPEN + self._name, 0)])
+        self._advance(Step.OPENED)
+        return history
+
+    def _records_of(self, picture: Picture, packed: list[dict[str, tuple[str, int]]]) -> Iterator[tuple[str, object]]:
+        for job, record in picture.jobs.items():
+            yield records.JOB + job, record
+        for job, admitted in picture.admitted.items():
+            yield records.ADMISSION + job, admitted
+        for where, allocation in picture.allocations.items():
+            yield str(where), allocation
+        for job, final in picture.finals.items():
+            if final.state == IN_DOUBT:
+                yield records.FINAL + job, final
+        for doubt in picture.doubts:
+            yield DOUBT + doubt.job, doubt
+        for number, jobs in enumerate(packed):
+            yield f"{PACKED}{number}", PackedFinals(jobs)
+        for zone in self._around.deployment.zones:
+            yield records.PART + zone, PartitionRecord("", self._epoch)
+
+    def _pack(self, finals: dict[str, FinalRecord]) -> list[dict[str, tuple[str, int]]]:
+        """Final standings by the records that hold them, each within the limit on values."""
+        certain = {job: final for job, final in finals.items() if final.state != IN_DOUBT}
+        limit = self._around.deployment.state.value_bytes
+        count = -(-2 * PACKED_FINAL_BYTES * len(certain) // limit)
+        while count:
+            buckets: list[dict[str, tuple[str, int]]] = [{} for _ in range(count)]
+            for job, final in certain.items():
+                number = int(packed_key(job, count)[len(PACKED) :])
+                buckets[number][job] = final.state, final.tasks
+            if all(len(wire.encode(PackedFinals(jobs))) < limit for jobs in buckets):
+                return buckets
+            count *= 2
+        return []
+
+    def _batches(self, puts: list[wire.Put]) -> Iterator[list[wire.Put]]:
+        """Puts in transactions within the limits; each also changes the claim."""
+        most = self._around.deployment.state.transaction_changes - 1
+        batch: list[wire.Put] = []
+        size = 0
+        for put in puts:
+            length = len(wire.encode(put))
+            if batch and (len(batch) >= most or size + length > records.TXN_BYTES):
+                yield batch
+                batch, size = [], 0
+            batch.append(put)
+            size += length
+        if batch:
+            yield batch
--- /dev/null
+++ b/spurarch/recovery/service.py
@@ -0,0 +1,297 @@
+"""Keeps one controller from acting on records that were lost, and has them rebuilt.
+
+    WATCHING -> CLOSED -> (REBUILDING ->) MOVED
+
+While WATCHING, the history is in force as far as can be told. CLOSED, nothing is read or written; whoever gets the claim
+goes on to REBUILDING. Once another history is open, the controller has MOVED and begins anew in it, as after a restart.
+"""
+
+from __future__ import annotations
+
+import enum
+import logging
+import os
+import time
+from dataclasses import dataclass
+
+import curio
+
+from spurarch.coordination.partition import TOKEN_BITS
+from spurarch.coordination.partition_owner import PartitionOwner
+from spurarch.coordination.permissions import Permissions
+from spurarch.protocol import recovery_messages, wire
+from spurarch.protocol.recovery_messages import (
+    EvidencePage,
+    EvidenceRequest,
+    ReportsPage,
+    ReportsRequest,
+    RevisionAnswer,
+    RevisionRequest,
+    StoredRecord,
+)
+from spurarch.recovery import copies
+from spurarch.recovery.claim import ClaimLostError, RebuildClaim
+from spurarch.recovery.collector import ReportCollector
+from spurarch.recovery.evidence import Source
+from spurarch.recovery.rebuild import Rebuilding, RebuildRefusedError, Surroundings
+from spurarch.settings import Platform, Tuning
+from spurarch.storage.cloud import Cloud
+from spurarch.storage.history import CURRENT, OPEN, HistoryGuard, HistoryPhase, HistoryRecord, decode_history
+from spurarch.storage.replica import Replica
+from spurarch.storage.store import Store, StoreUnavailableError
+from spurarch.transport.network import Calls, Network
+
+log = logging.getLogger(__name__)
+
+LOOK_S = 0.25
+REFUSED_PAUSE_S = 3.0
+SUSPICIOUS_LEAST = 2
+SUSPICIOUS_KEPT = 100
+CALL_S = 1.0
+REBUILD_SHARE = 0.9  # of the state service's rates, which nobody else uses meanwhile
+CONNECTIONS = 2
+
+
+class ServicePhase(enum.Enum):
+    """Where this controller stands."""
+
+    WATCHING = "watching"
+    CLOSED = "closed"
+    REBUILDING = "rebuilding"
+    MOVED = "moved"
+
+
+_NEXT = {
+    ServicePhase.WATCHING: {ServicePhase.CLOSED},
+    ServicePhase.CLOSED: {ServicePhase.REBUILDING, ServicePhase.MOVED},
+    ServicePhase.REBUILDING: {ServicePhase.CLOSED, ServicePhase.MOVED},
+    ServicePhase.MOVED: set(),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _Suspicion:
+    """A worker showed an epoch of its partition that is not on record here."""
+
+    zone: str
+    epoch: int
+
+
+class RecoveryService:
+    """Recovery, as one controller takes part in it."""
+
+    def __init__(
+        self, platform: Platform, tuning: Tuning, network: Network, guard: HistoryGuard, replica: Replica,
+        owner: PartitionOwner, permissions: Permissions, cloud: Cloud, peers: dict[str, Calls], boot: str,
+    ) -> None:  # fmt: skip
+        self._node, self._boot, self._guard, self._replica, self._owner = platform.node, boot, guard, replica, owner
+        self._peers = peers
+        deployment = platform.deployment
+        self._store = Store(network.client(platform.external.state, CONNECTIONS), deployment.state, deployment.count)
+        self._archive = network.client(tuning.archive_address, CONNECTIONS) if tuning.archive_address else None
+        self._claim = RebuildClaim(self._store, platform.node, boot)
+        self.collector = ReportCollector(
+            permissions.answers, lambda job: permissions.cancelled_ago(job) is not None
+        )  # fmt: skip
+        self._around = Surroundings(
+            platform.node, deployment, self._store, cloud, peers, self._archive, self.collector, self._own_source
+        )  # fmt: skip
+        self.phase = ServicePhase.WATCHING
+        self._stored: list[StoredRecord] | None = None
+        self._suspicious: dict[str, _Suspicion] = {}  # by worker
+
+    def _advance(self, phase: ServicePhase) -> None:
+        if phase not in _NEXT[self.phase]:
+            raise RuntimeError(f"{self.phase} -> {phase}")
+        log.info("recovery: %s", phase.value)
+        self.phase = phase
+
+    @property
+    def closed(self) -> bool:
+        """The records may not be believed."""
+        return self._guard.phase is HistoryPhase.LOST
+
+    @property
+    def _moved(self) -> bool:
+        return self.phase is ServicePhase.MOVED
+
+    # Starting
+
+    async def open_history(self) -> bool:
+        """Finds the history in force; False as soon as there is a sign of loss."""
+        told = False
+        while self._guard.phase is HistoryPhase.UNKNOWN:
+            try:
+                await self._look_for_history()
+            except StoreUnavailableError as err:
+                log.info("start: %s", err)
+            if self._guard.phase is HistoryPhase.UNKNOWN:
+                if not told:
+                    log.info("no history is in force yet; a new installation needs `spurarch recovery init`")
+                    told = True
+                await curio.sleep(LOOK_S)
+        return self._guard.is_open
+
+    async def _look_for_history(self) -> None:
+        item = await self._store.get(CURRENT)
+        if item is None:
+            await self._doubt_emptiness()
+            return
+        history = decode_history(item.value)
+        marker = await self._store.get(OPEN + history.name)
+        if marker is None:
+            self._lose_known(history, f"history {history.name} was sealed")
+            return
+        newest = await self._newest_known(history.name)
+        page = await self._store.page(CURRENT, None)  # read later, so it shows no less, unless data was lost
+        if newest > page.revision:
+            self._lose_known(history, f"revision {page.revision}, where {newest} was seen")
+            return
+        self._guard.open(history, marker.version, page.revision, time.monotonic())
+
+    async def _doubt_emptiness(self) -> None:
+        """An empty state service is either new or was wiped: an archive or another controller knows which."""
+        head = await copies.archive_head(self._archive) if self._archive is not None else None
+        if head is not None and head.history:
+            self._lose_known(HistoryRecord(head.history, head.number), f"no history, the archive has {head.history}")
+            return
+        for answer in await self._ask_revisions():
+            if answer.history:
+                self._lose_known(
+                    HistoryRecord(answer.history, answer.number), f"no history, {answer.node} has seen {answer.history}"
+                )  # fmt: skip
+                return
+
+    def _lose_known(self, history: HistoryRecord, reason: str) -> None:
+        """A history is lost that this process never worked in."""
+        if self._guard.lose(reason):
+            self._guard.record = history
+
+    async def _newest_known(self, history: str) -> int:
+        """The newest revision of a history that the archive or another controller has seen."""
+        seen = [answer.revision for answer in await self._ask_revisions() if answer.history == history]
+        head = await copies.archive_head(self._archive) if self._archive is not None else None
+        if head is not None and head.history == history:
+            seen.append(head.revision)
+        return max(seen, default=0)
+
+    async def _ask_revisions(self) -> list[RevisionAnswer]:
+        """What other controllers have seen; those that can't be reached at once say nothing."""
+        request = recovery_messages.encode(RevisionRequest(self._node))
+        async with curio.TaskGroup() as group:
+            for peer in self._peers.values():
+                await group.spawn(peer.call, request, CALL_S)
+        answers = [recovery_messages.decode(frame) for frame in group.results if frame is not None]
+        return [answer for answer in answers if isinstance(answer, RevisionAnswer)]
+
+    # Watching
+
+    async def run(self) -> None:
+        """Ends when this controller has to begin anew in another history."""
+        while not self.closed:
+            await curio.sleep(LOOK_S)
+            if self._suspicious:
+                await self._judge_suspicions()
+        log.warning("the state service lost its data: %s", self._guard.reason)
+        self._advance(ServicePhase.CLOSED)
+        self._store.set_shares(REBUILD_SHARE, REBUILD_SHARE)
+        while not self._moved:
+            try:
+                await self._look_while_closed()
+            except StoreUnavailableError as err:
+                log.info("rebuilding: %s", err)
+            if not self._moved:
+                await curio.sleep(LOOK_S)
+
+    async def _look_while_closed(self) -> None:
+        """Moves on if another history is open; rebuilds if nobody does."""
+        item = await self._store.get(CURRENT)
+        current = decode_history(item.value) if item is not None else None
+        if current is not None and current.name != self._guard.record.name:
+            marker = await self._store.get(OPEN + current.name)
+            if marker is not None and (self._lost is None or current.number > self._lost.number):
+                self._advance(ServicePhase.MOVED)
+                return
+        name = os.urandom(6).hex()
+        if await self._claim.take(name):
+            await self._rebuild(name)
+        elif self._claim.record is not None:
+            self.collector.begin(self._claim.record.epoch)
+
+    @property
+    def _lost(self) -> HistoryRecord | None:
+        """The history that this controller worked in, if it knew one."""
+        return self._guard.record if self._guard.record.name else None
+
+    async def _rebuild(self, name: str) -> None:
+        self._advance(ServicePhase.REBUILDING)
+        try:
+            history = await Rebuilding(self._around, self._claim, name, self._lost).run()
+        except (ClaimLostError, RebuildRefusedError, StoreUnavailableError) as err:
+            log.warning("rebuilding %s ended: %s", name, err)
+            self._advance(ServicePhase.CLOSED)
+            await curio.sleep(REFUSED_PAUSE_S if isinstance(err, RebuildRefusedError) else LOOK_S)
+            return
+        log.warning("history %d (%s) is open", history.number, history.name)
+        self._advance(ServicePhase.MOVED)
+
+    def _own_source(self) -> Source | None:
+        if self._lost is None or not self._replica.loaded:
+            return None
+        return copies.memory_source(self._node, self._replica.state, self._replica.loaded_revision)
+
+    # Requests
+
+    def observe(self, report: wire.Report) -> None:
+        """Workers that show a later epoch than their partition has on record have seen a history that is gone."""
+        part = self._replica.state.parts.get(report.zone)
+        shown = report.token >> TOKEN_BITS
+        if part is not None and shown > part.epoch and len(self._suspicious) < SUSPICIOUS_KEPT:
+            self._suspicious[report.machine] = _Suspicion(report.zone, shown)
+
+    async def _judge_suspicions(self) -> None:
+        """A copy that was merely late shows the epochs after the next read. A single worker may be out of order."""
+        suspicious, self._suspicious = self._suspicious, {}
+        if len(suspicious) < SUSPICIOUS_LEAST or not await self._replica.sync():
+            return
+        parts = self._replica.state.parts
+        unexplained = [s for s in suspicious.values() if s.zone in parts and s.epoch > parts[s.zone].epoch]
+        if len(unexplained) >= SUSPICIOUS_LEAST:
+            self._guard.lose(f"{len(unexplained)} workers show epochs that are not on record")
+
+    async def on_report(self, report: wire.Report) -> tuple[int, bytes]:
+        """Answers a report while the history is closed."""
+        if self.collector.epoch:
+            return self.collector.on_report(report)
+        self.collector.on_report(report)  # for the epoch that it shows
+        return await self._owner.on_report(report, time.monotonic())
+
+    def on_frame(self, frame: bytes) -> bytes | None:
+        """Answers a peer; None if the frame is nothing of recovery's."""
+        message = recovery_messages.decode(frame)
+        if isinstance(message, RevisionRequest):
+            record = self._guard.record
+            return recovery_messages.encode(
+                RevisionAnswer(self._node, record.name, record.number, self._guard.highest)
+            )  # fmt: skip
+        if isinstance(message, EvidenceRequest):
+            return recovery_messages.encode(self._evidence_page(message))
+        if isinstance(message, ReportsRequest):
+            reports, position = self.collector.page(message.epoch, message.after)
+            return recovery_messages.encode(ReportsPage(reports, position, self.collector.highest_epoch))
+        return None
+
+    def _evidence_page(self, request: EvidenceRequest) -> EvidencePage:
+        """A copy that may still change is no evidence yet: its history's marker is looked at before the next read."""
+        replica, record = self._replica, self._guard.record
+        page = EvidencePage(
+            self._node, self._boot, record.name, self.closed, replica.loaded, replica.loaded_revision,
+            replica.state.revision, [], 0,
+        )  # fmt: skip
+        if not self.closed:
+            self._guard.verified_at = float("-inf")
+            return page
+        if self._stored is None:
+            self._stored = copies.stored_records(replica.state)
+        page.records, page.position = copies.page_of(self._stored, request.position)
+        return page
--- a/spurarch/settings.py
+++ b/spurarch/settings.py
@@ -200,6 +200,10 @@
     size_weight: NotNegative = 0.4
     guarantee_wait_s: NotNegative = 8.0
     seed: int = 1
+    recovery: bool = False
+    archive_address: str = ""
+    archive_away: Annotated[str, Meta(pattern="^(go-on|hold)$")] = "go-on"
+    archive_patience_s: Positive = 20.0
 
 
 def _read(path: str) -> str:
--- a/spurarch/storage/records.py
+++ b/spurarch/storage/records.py
@@ -21,6 +21,8 @@
 
 FREE, ASSIGNED, ENDED, RETURNED = 0, 1, 2, 3
 
+IN_DOUBT = "in doubt"  # state of a final record: the job is over or was lost, and an operator has to say which
+
 GANG_VERSION = 1  # the first version that starts gangs as a whole
 PROGRAM_VERSION = GANG_VERSION  # written into this process's member record
 
--- a/spurarch/storage/replica.py
+++ b/spurarch/storage/replica.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from itertools import zip_longest
+from typing import TYPE_CHECKING
 
 import curio
 import msgspec
@@ -34,6 +35,9 @@
 )
 from spurarch.storage.store import Outcome, RevisionTooOldError, Store, StoreUnavailableError, Verdict
 
+if TYPE_CHECKING:
+    from spurarch.storage.history import HistoryGuard
+
 log = logging.getLogger(__name__)
 
 FINALS_KEPT = 20_000
@@ -192,6 +196,7 @@
         self.store = store
         self.state = State()
         self.loaded = False
+        self.loaded_revision = 0  # since which the copy has missed no change
         self.reachable = True  # only to log an outage once
         self.synced_at = float("-inf")  # the copy held everything that had been changed before this moment
         self._bells: list[curio.Event] = []
@@ -234,7 +239,7 @@
         for key in set(self.state.entries) - seen:
             if self.state.version(key) <= first:
                 self.state.drop(key, first)
-        self.state.revision = first
+        self.state.revision = self.loaded_revision = first
         self.loaded = True
         self.synced_at = max(self.synced_at, start)
         await self.ring()
@@ -325,13 +330,28 @@
             return known
         item = await self.store.get(records.FINAL + job)
         if item is None:
-            return None
+            history = self.store.history
+            return await self._read_packed(job, history.record.packed) if history is not None else None
         record = records.decode(item.key, item.value)
         if not isinstance(record, FinalRecord):
             return None
         self.state.put(item.key, item.version, record)
         return record
 
+    async def _read_packed(self, job: str, packed: int) -> FinalRecord | None:
+        """The final standing of a job that was over before the records were last rebuilt."""
+        if not packed:
+            return None
+        from spurarch.storage.history import decode_packed, packed_key
+
+        item = await self.store.get(packed_key(job, packed))
+        found = decode_packed(item.value).jobs.get(job) if item is not None else None
+        if found is None:
+            return None
+        record = FinalRecord(*found)
+        self.state.put(records.FINAL + job, 1, record)
+        return record
+
     async def commit(
         self,
         writes: list[Write],
@@ -365,7 +385,8 @@
                 await self._committed(writes, outcome.revision)
                 return outcome
             elif outcome.verdict is Verdict.CONFLICT:
-                await self.sync()
+                if await self.sync() and self.store.history is not None:
+                    self._check_conflict(self.store.history, versions, outcome.failed)
                 return outcome
             elif not unsure:
                 return outcome
@@ -373,6 +394,12 @@
                 return Outcome(Verdict.UNKNOWN)
             await curio.sleep(0.1 if outcome.verdict is Verdict.UNKNOWN else 0.3)
 
+    def _check_conflict(self, history: HistoryGuard, sent: dict[str, int], failed: list[str]) -> None:
+        """A copy brought up to date explains why a condition failed; if it doesn't, records were lost one by one."""
+        for key in failed:
+            if key.startswith(records.LIVE) and sent.get(key, -1) == self.state.version(key):
+                history.lose(f"record {key} is not at {sent[key]}, and no change says why")
+
     async def _committed(self, writes: list[Write], revision: int) -> None:
         self.state.committed(writes, revision)
         await self.ring()
--- a/spurarch/storage/store.py
+++ b/spurarch/storage/store.py
@@ -6,6 +6,7 @@
 import logging
 import time
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import curio
 import msgspec
@@ -16,6 +17,9 @@
 from spurarch.transport.http import NoAnswerError
 from spurarch.transport.network import Requests
 
+if TYPE_CHECKING:
+    from spurarch.storage.history import HistoryGuard
+
 log = logging.getLogger(__name__)
 
 CALL_S = 1.5
@@ -52,6 +56,14 @@
     failed: list[str] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class _Found:
+    """What stands under a key, and the revision of its last change; without a key, that of the service."""
+
+    item: wire.Item | None
+    revision: int
+
+
 class StoreUnavailableError(Exception):
     """The state service did not serve a call."""
 
@@ -68,8 +80,11 @@
     record, so the shares add up to one as long as the copies agree; a refusal lowers ours for a while.
     """
 
-    def __init__(self, client: Requests, limits: StateLimits, controllers: int) -> None:
+    def __init__(
+        self, client: Requests, limits: StateLimits, controllers: int, history: HistoryGuard | None = None
+    ) -> None:
         self._client = client
+        self.history = history  # only where lost data is to be noticed and rebuilt
         rps, write_rps = limits.rps, limits.write_rps
         self._rps, self._write_rps = rps, write_rps
         even = RATE_SHARE / controllers
@@ -84,6 +99,16 @@
         self._recent, self._recent_at = 0.0, 0.0
         self._made: list[float] = [0, 0, 0, 0.0]  # requests, changes, refusals, longest wait since the last line of log
 
+    @property
+    def trusted(self) -> bool:
+        """Nothing says that the service's data was lost."""
+        return self.history is None or self.history.is_open
+
+    @property
+    def reserved_guards(self) -> int:
+        """Conditions that are added to every transaction here."""
+        return 0 if self.history is None else 1
+
     def set_shares(self, requests: float, writes: float) -> None:
         """This controller's shares of the published rates."""
         now = time.monotonic()
@@ -156,15 +181,39 @@
 
     async def get(self, key: str) -> wire.Item | None:
         """Reads one key."""
+        history = self.history
+        if history is None:
+            return (await self._get(key)).item
+        before = await self._begin_read(history)
+        found = await self._get(history.physical(key))
+        # Only the answer that there is no such key shows a revision of the whole service.
+        history.check_revision(before, found.revision if found.item is None else before, time.monotonic())
+        if found.item is not None:
+            found.item.key = key
+        return found.item
+
+    async def _get(self, key: str) -> _Found:
         status, answer = await self._read(f"{wire.PATH_KV}/{key}")
         if status == 404:
-            return None
+            return _Found(None, _decode(wire.txn_decoder, answer).revision if self.history is not None else 0)
         if status != 200:
             raise StoreUnavailableError(f"status {status}")
-        return _decode(wire.item_decoder, answer)
+        item = _decode(wire.item_decoder, answer)
+        return _Found(item, item.version)
 
     async def page(self, prefix: str, after: str | None) -> wire.Page:
         """Reads a page of keys."""
+        history = self.history
+        if history is None:
+            return await self._page(prefix, after)
+        before = await self._begin_read(history)
+        page = await self._page(history.physical(prefix), None if after is None else history.physical(after))
+        history.check_revision(before, page.revision, time.monotonic())
+        for item in page.items:
+            item.key = history.logical(item.key) or item.key
+        return page
+
+    async def _page(self, prefix: str, after: str | None) -> wire.Page:
         status, answer = await self._read(f"{wire.PATH_KV}?{wire.query(prefix=prefix, after=after, limit=1000)}")
         if status != 200:
             raise StoreUnavailableError(f"status {status}")
@@ -172,6 +221,17 @@
 
     async def watch(self, after: int, wait_ms: int) -> wire.Changes:
         """Every change after a revision, waiting up to `wait_ms` for the first."""
+        history = self.history
+        if history is None:
+            return await self._watch(after, wait_ms)
+        before = await self._begin_read(history)
+        changes = await self._watch(after, wait_ms)
+        history.check_revision(before, changes.revision, time.monotonic())
+        taken = [history.take_event(event) for event in changes.events]
+        history.check_open()
+        return wire.Changes(changes.revision, [event for event in taken if event is not None])
+
+    async def _watch(self, after: int, wait_ms: int) -> wire.Changes:
         target = f"{wire.PATH_WATCH}?{wire.query(prefix='', after=after, wait_ms=wait_ms)}"
         status, answer = await self._read(target, wait_ms / 1000)
         if status == 410:
@@ -180,12 +240,30 @@
             raise StoreUnavailableError(f"status {status}")
         return _decode(wire.changes_decoder, answer)
 
+    async def _begin_read(self, history: HistoryGuard) -> int:
+        """The highest revision seen before the read; the history's marker is read first if that is due."""
+        before = history.check_open()
+        if history.needs_verification(time.monotonic()):
+            marker = await self._get(history.marker)
+            history.check_marker(marker.revision if marker.item is not None else 0, time.monotonic())
+        return before
+
     def ready(self, urgency: Urgency) -> bool:
         """A transaction of this urgency would not have to wait in line."""
         return not self._lines[urgency].locked() and self._writes.level(time.monotonic()) >= urgency.value
 
     async def txn(self, txn: wire.Txn, urgency: Urgency = Urgency.STARTS) -> Outcome:
         """Runs a transaction."""
+        history = self.history
+        if history is None:
+            return await self._txn(txn, urgency)
+        try:
+            before = history.check_open()
+        except StoreUnavailableError:
+            return Outcome(Verdict.REFUSED)
+        return history.judge(before, await self._txn(history.bound(txn), urgency), time.monotonic())
+
+    async def _txn(self, txn: wire.Txn, urgency: Urgency) -> Outcome:
         started = time.monotonic()
         # In line: otherwise whoever asks more often would be served, and a large transaction of a part might never be.
         async with self._lines[urgency]:
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -183,10 +183,13 @@
         network = self.networks[node] = SimNetwork(self.wire, node)
         boot = f"{self.boots.getrandbits(64):016x}"  # chosen here, so that equal plays are equal
         version = records.GANG_VERSION - 1 if node in self.earlier else records.PROGRAM_VERSION
-        controller = Controller(self.platform(int(node[1:])), self.tuning, network, boot, version)
-        self.controllers[node] = controller
+        controller = self.controllers[node] = self.controller(node, network, boot, version)
         self.running[node] = await curio.spawn(controller.run, daemon=True)
 
+    def controller(self, node: str, network: SimNetwork, boot: str, version: int) -> Controller:
+        """A controller that is about to start."""
+        return Controller(self.platform(int(node[1:])), self.tuning, network, boot, version)
+
     async def kill(self, node: str) -> None:
         """Ends a controller without a word. What it had sent is out already."""
         task = self.running.pop(node, None)
--- a/tests/sim/store.py
+++ b/tests/sim/store.py
@@ -54,6 +54,17 @@
         self.throttled += not good
         return good
 
+    def wipe(self) -> None:
+        """All data is lost, and revisions begin anew."""
+        self.go_back_to(0, {})
+
+    def go_back_to(self, revision: int, keys: dict[str, tuple[Any, int, int | None]]) -> None:
+        """The data as it was at a revision; what came later is lost, leases and watched changes included."""
+        self.revision, self.keys = revision, dict(keys)
+        self.events = [(at, event) for at, event in self.events if at <= revision]
+        self.leases.clear()
+        self._carried.clear()
+
     def outage(self, seconds: float) -> None:
         """Down for a while; afterwards every lease has its full time."""
         self.outage_until = self.clock.now + seconds
--- a/tests/test_requests_and_settings.py
+++ b/tests/test_requests_and_settings.py
@@ -118,7 +118,7 @@
     assert (refusal.status if refusal else None) == status
 
 
-LAYERS = ["transport", "protocol", "storage", "coordination"]
+LAYERS = ["transport", "protocol", "storage", "coordination", "recovery", "archive"]
 
 
 def test_layers_call_only_downwards() -> None:
