--- a/spurarch/archive/follower.py
+++ b/spurarch/archive/follower.py
@@ -26,13 +26,13 @@
     CURRENT,
     HISTORY,
     OPEN,
+    UNARCHIVED,
     ArchivedRecord,
     HistoryRecord,
     decode_archived,
     decode_history,
 )
 from spurarch.storage.limits import Urgency
-from spurarch.storage.records import LEADER, MEMBER
 from spurarch.storage.store import RevisionTooOldError, Store, StoreUnavailableError, Verdict
 
 log = logging.getLogger(__name__)
@@ -43,7 +43,6 @@
 RIVAL_S = 10.0  # another archiver that published so recently is at work
 AGAIN_S = 0.5
 SNAPSHOT_LOG_BYTES = 8 << 20  # of changes, after which a new snapshot begins
-UNRECORDED = (MEMBER, LEADER)  # whoever rebuilds has its own
 PREFIXES = ("live/", "final/", "packed/")
 
 
@@ -89,6 +88,7 @@
         self.point: Point | None = earlier
         self.counts = FollowerCounts()
         self._history: HistoryRecord | None = None
+        self._current: Entry | None = None  # its own record, which is archived like the others
         self._log: ChangeLog | None = None
         self._revision = 0  # followed so far, with what is no record of the history
         self._published = 0
@@ -147,6 +147,7 @@
             await curio.sleep(AGAIN_S)
             return
         self._history, self._log, self._revision = history, None, 0
+        self._current = Entry(item.version, CURRENT, bytes(item.value)) if item is not None else None
         if self._earlier is not None and self._earlier.history == history.name:
             self._revision = self._earlier.revision  # a state service that has gone back since is not followed
         self._advance(FollowerPhase.READING)
@@ -156,6 +157,8 @@
         assert self._history is not None
         history = self._history
         point = Point(history.name, history.number, 0)
+        if self._current is not None:
+            point.apply(self._current)
         first: int | None = None
         for prefix in PREFIXES:
             after: str | None = None
@@ -218,16 +221,18 @@
             if event.delete == OPEN + self._history.name:
                 self._seal("its marker was deleted")
                 return None
+            if event.put == CURRENT and decode_history(event.value).name == self._history.name:
+                out.append(Entry(event.version, CURRENT, bytes(event.value)))
             if key.startswith(HISTORY) or not key.startswith(prefix):
                 continue
             key = key[len(prefix) :]
-            if key.startswith(PREFIXES) and not key.startswith(UNRECORDED):
+            if key.startswith(PREFIXES) and not key.startswith(UNARCHIVED):
                 out.append(Entry(event.version, key, bytes(event.value) if event.put else None))
         return out
 
     @staticmethod
     def _take(point: Point, entry: Entry) -> None:
-        if not entry.key.startswith(UNRECORDED):
+        if not entry.key.startswith(UNARCHIVED):
             point.apply(entry)
 
     def _append(self, entries: list[Entry], revision: int) -> None:
--- a/spurarch/archive/server.py
+++ b/spurarch/archive/server.py
@@ -11,6 +11,7 @@
 from spurarch.protocol import wire
 from spurarch.protocol.recovery_messages import StoredRecord
 from spurarch.recovery.copies import PATH_HEAD, PATH_RECORDS, ArchiveHead, ArchivePage, page_of
+from spurarch.storage.history import CURRENT, HistoryRecord, decode_history
 from spurarch.transport.http import Request, Response
 
 
@@ -20,7 +21,7 @@
     def __init__(self, newest: Callable[[], Point | None], earlier: Callable[[str], Point | None]) -> None:
         self._newest, self._earlier = newest, earlier
         self._stored: list[StoredRecord] = []
-        self._kept: ArchiveHead | None = None  # what `_stored` holds
+        self._kept: Point | None = None  # what `_stored` holds, without the records
 
     async def handle(self, request: Request) -> Response:
         """Answers a request."""
@@ -29,9 +30,7 @@
             return _error(405, "use GET")
         point = self._newest()
         if url.path == PATH_HEAD:
-            head = ArchiveHead("", 0, 0, 0)
-            if point is not None:
-                head = ArchiveHead(point.history, point.number, point.revision, len(point.records))
+            head = _head(point) if point is not None else ArchiveHead(None, 0, 0)
             return Response(200, msgspec.json.encode(head))
         if url.path == PATH_RECORDS:
             return self._records(point, {name: values[0] for name, values in parse_qs(url.query).items()})
@@ -54,10 +53,18 @@
 
     def _keep(self, point: Point) -> None:
         """Pages of one point belong together: they are cut from one list."""
-        head = ArchiveHead(point.history, point.number, point.revision, len(point.records))
-        if head != self._kept:
+        kept = point.history, point.revision
+        if self._kept is None or kept != (self._kept.history, self._kept.revision):
             self._stored = [StoredRecord(key, e.revision, e.value or b"") for key, e in sorted(point.records.items())]
-            self._kept = head
+            self._kept = Point(point.history, point.number, point.revision)
+
+
+def _head(point: Point) -> ArchiveHead:
+    current = point.records.get(CURRENT)
+    history = HistoryRecord(point.history, point.number)
+    if current is not None and current.value is not None:
+        history = decode_history(current.value)
+    return ArchiveHead(history, point.revision, len(point.records))
 
 
 def _error(status: int, message: str) -> Response:
--- a/spurarch/coordination/users.py
+++ b/spurarch/coordination/users.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Awaitable, Callable
 
+import curio
 import msgspec
 
 from spurarch.coordination.membership import gangs_supported
@@ -24,10 +25,12 @@
 
 RETRY_S = 1
 UPGRADE_RETRY_S = 5
+ARCHIVED_KEPT = 20_000
 DOUBT_RETRY_S = 30  # an operator has to settle what is in doubt
 GIVE_UP_S = 2.5
 SYNC_S = 1.2
 MOST_WAIT_S = 2.0
+ARCHIVE_WAIT_S, ARCHIVE_LOOK_S = 1.2, 0.02  # for the archive, in installations that answer after it
 
 RECORD_MARGIN_BYTES = 64  # the state service may count a little more than we send
 
@@ -55,6 +58,7 @@
         self._nodes = nodes
         self._record_bytes = deployment.state.value_bytes - RECORD_MARGIN_BYTES
         self._pending = 0
+        self._archived: dict[str, None] = {}  # jobs whose final standing is known to be archived
 
     async def submit(self, body: bytes) -> Response:
         """POST of a job."""
@@ -106,7 +110,7 @@
         )  # fmt: skip
         if outcome.verdict is Verdict.DONE:
             await self._wake()
-            return _state(201, spec.id, wire.QUEUED)
+            return await self._once_archived(outcome.revision, _state(201, spec.id, wire.QUEUED))
         if outcome.verdict is Verdict.CONFLICT:
             return await self._known(spec.id) or error(503, "not settled yet")
         return error(503, "the state service can't be reached")
@@ -163,7 +167,7 @@
                 )  # fmt: skip
                 if outcome.verdict is Verdict.DONE:
                     await self._tell_cancelled(ref)
-                    return _state(200, ref, wire.CANCELLED)
+                    return await self._once_archived(outcome.revision, _state(200, ref, wire.CANCELLED))
                 if outcome.verdict is not Verdict.CONFLICT:
                     break
             return error(503, "not settled yet")
@@ -186,14 +190,36 @@
                 raise StoreUnavailableError("no fresh copy")
             record = state.jobs.get(ref)
             if record is not None:
-                return self._live(ref, record)
+                return await self._once_archived(state.version(records.JOB + ref), self._live(ref, record))
             final = await self.replica.read_final(ref)
         if final is None:
             return None
         if final.state == records.IN_DOUBT:
             return error(503, "in doubt since the records were rebuilt", DOUBT_RETRY_S)
         done = final.tasks if final.state == wire.DONE else None
-        return _state(200, ref, final.state, done, 0 if done is not None else None)
+        response = _state(200, ref, final.state, done, 0 if done is not None else None)
+        return await self._once_archived(None, response, ref)
+
+    async def _once_archived(self, revision: int | None, response: Response, over: str | None = None) -> Response:
+        """The answer, once the archive holds what it says (None: all that is on record now); 503 if that takes too long.
+
+        What a user was told must not be forgotten, whatever is lost: with `archived_answers`, the archive alone is enough
+        for that. A job that is `over` is waited for once.
+        """
+        history = self.replica.store.history
+        if history is None or not history.record.archived_answers or over in self._archived:
+            return response
+        deadline = time.monotonic() + ARCHIVE_WAIT_S
+        revision = history.recorded if revision is None else revision
+        while history.archived < revision:
+            if time.monotonic() > deadline:
+                return error(503, "recorded, and not archived yet")
+            await curio.sleep(ARCHIVE_LOOK_S)
+        if over is not None:
+            self._archived[over] = None
+            if len(self._archived) > ARCHIVED_KEPT:
+                del self._archived[next(iter(self._archived))]
+        return response
 
     def _live(self, ref: str, record: JobRecord) -> Response:
         if record.cancelled:
--- a/spurarch/recovery/commands.py
+++ b/spurarch/recovery/commands.py
@@ -26,6 +26,9 @@
     parser = commands.add_parser("recovery", help=text, description=text)
     actions = parser.add_subparsers(dest="action", metavar="ACTION", required=True)
     init = actions.add_parser("init", help="declare the first history of an installation")
+    init.add_argument(
+        "--answer-after-archive", action="store_true", help="tell users only what the archive holds already"
+    )
     init.add_argument("--adopt", action="store_true", help="records that are there already are whole")
     status = actions.add_parser("status", help="which history is in force, and how far it is archived")
     doubts = actions.add_parser("doubts", help="what can't be known since the records were rebuilt")
@@ -34,14 +37,15 @@
     which.add_argument("--job", metavar="REF")
     which.add_argument("--unknown-jobs", action="store_true", help="jobs without a record were never accepted")
     settle.add_argument("--as", dest="state", choices=[wire.DONE, wire.CANCELLED])
-    for action in (init, status, doubts, settle):
+    purge = actions.add_parser("purge", help="delete what earlier histories left in the state service")
+    for action in (init, status, doubts, settle, purge):
         action.add_argument("--config", required=True, metavar="FILE", help="the platform's TOML file")
 
 
 def run_command(args: argparse.Namespace) -> int:
     """Runs a command; returns its exit code."""
     actions: dict[str, Callable[[Store, argparse.Namespace], Awaitable[None]]] = {
-        "init": _init, "status": _status, "doubts": _doubts, "settle": _settle,
+        "init": _init, "status": _status, "doubts": _doubts, "settle": _settle, "purge": _purge,
     }  # fmt: skip
     try:
         platform = load_platform(args.config)
@@ -58,7 +62,7 @@
 
 
 async def _init(store: Store, args: argparse.Namespace) -> None:
-    history = await operators.declare_first_history(store, args.adopt)
+    history = await operators.declare_first_history(store, args.adopt, args.answer_after_archive)
     print(f"history {history.name} is open")
 
 
@@ -86,6 +90,10 @@
         print(f"{doubt.job}\t{doubt.kind}\t{doubt.detail}")
 
 
+async def _purge(store: Store, args: argparse.Namespace) -> None:
+    print(f"{await operators.purge(store)} keys deleted")
+
+
 async def _settle(store: Store, args: argparse.Namespace) -> None:
     if args.unknown_jobs:
         await operators.settle_unknown_jobs(store)
--- a/spurarch/recovery/copies.py
+++ b/spurarch/recovery/copies.py
@@ -24,10 +24,9 @@
 
 
 class ArchiveHead(Struct):
-    """What an archiver serves: the newest point of a history."""
+    """What an archiver serves: the newest point of a history; None while it has none."""
 
-    history: str
-    number: int
+    history: HistoryRecord | None
     revision: int
     records: int
 
--- a/spurarch/recovery/coverage.py
+++ b/spurarch/recovery/coverage.py
@@ -24,7 +24,7 @@
 
     def recorded(self) -> int:
         """A revision that holds all that is on record here now."""
-        return self._guard.highest
+        return self._guard.recorded
 
     def covers(self, revision: int) -> bool:
         """The archive holds all changes up to a revision, or is not to be waited for."""
--- a/spurarch/recovery/evidence.py
+++ b/spurarch/recovery/evidence.py
@@ -78,6 +78,7 @@
     reports: dict[str, wire.Report] = field(default_factory=dict)
     complete: bool = False
     uncertain: bool = False  # jobs without a trace were possible in the lost history already
+    archived_answers: bool = False  # users were told only what the archive held
 
     def take_report(self, report: wire.Report) -> None:
         """Adds a worker's report unless something newer is known of it."""
--- a/spurarch/recovery/merge.py
+++ b/spurarch/recovery/merge.py
@@ -10,7 +10,9 @@
      lower one.
   4. A task that the records put on a worker that was not heard stays on it: only the ordinary proofs of its partition's
      owner free it.
-  5. All other tasks that have not ended go back to the leader, who admits them anew within the limits of their teams.
+  5. Where users are told only what is archived, a job that is over without a final standing in the archive is not over for
+     anybody: it goes on, and its tasks that are done end at once.
+  6. All other tasks that have not ended go back to the leader, who admits them anew within the limits of their teams.
 """
 
 from __future__ import annotations
@@ -147,6 +149,7 @@
         self._copies = copies or evidence.sources
         self._alive = alive_records(self._copies)
         self._tasks: dict[str, dict[int, _Task]] = defaultdict(lambda: defaultdict(_Task))
+        self._reopened: set[str] = set()  # jobs whose allocations are gone from the newest copy
         self._out = Picture()
 
     def run(self) -> Picture:
@@ -167,10 +170,18 @@
         """Every controller gave its copy, and together with an archive they reach back to the beginning."""
         if self._evidence.uncertain:
             return False
+        if self._archive_is_enough:
+            return True
         archived = [s.revision for s in self._evidence.sources if s.kind is SourceKind.ARCHIVE]
         replicas = [s.since for s in self._evidence.sources if s.kind is SourceKind.REPLICA]
         return self._evidence.complete and bool(archived and replicas) and min(replicas) <= max(archived)
 
+    @property
+    def _archive_is_enough(self) -> bool:
+        """Whatever any user was told is in the archive, which is here."""
+        archived = any(source.kind is SourceKind.ARCHIVE for source in self._evidence.sources)
+        return self._evidence.archived_answers and archived
+
     # Jobs
 
     def _take_finals(self) -> None:
@@ -206,6 +217,9 @@
                 self._out.jobs[job] = cancelled[job]
             elif newest is not None and isinstance(newest.record, JobRecord):
                 self._out.jobs[job] = newest.record
+            elif self._archive_is_enough:
+                self._out.jobs[job] = record  # nobody was told that it is over
+                self._reopened.add(job)
             else:
                 self._doubt(job, DoubtKind.OUTCOME, "alive in an older copy, gone in a newer one", record.spec.tasks)
 
@@ -224,6 +238,12 @@
                     for entry in found.record.tasks:
                         self._take_entry(where, entry)
 
+        for source in self._copies if self._reopened else ():
+            for key, found in sorted(source.alive.items()):
+                if isinstance(found.record, AllocationRecord) and AllocationKey.parse(key).job in self._reopened:
+                    for entry in found.record.tasks:
+                        self._take_entry(AllocationKey.parse(key), entry)
+
     def _take_entry(self, where: AllocationKey, entry: TaskEntry) -> None:
         task = self._tasks[where.job][entry.index]
         task.ended = task.ended or entry.state == records.ENDED
--- a/spurarch/recovery/operators.py
+++ b/spurarch/recovery/operators.py
@@ -16,6 +16,7 @@
     CLAIM,
     CURRENT,
     DOUBT,
+    HISTORY,
     OPEN,
     ArchivedRecord,
     HistoryRecord,
@@ -27,6 +28,8 @@
 from spurarch.storage.records import FinalRecord
 from spurarch.storage.store import Store, Verdict
 
+PURGE_AT_ONCE = 4  # no state service allows fewer changes in a transaction
+
 
 class OperatorError(Exception):
     """A command can't be carried out; the message says why."""
@@ -73,7 +76,7 @@
         after = page.items[-1].key
 
 
-async def declare_first_history(store: Store, adopt: bool) -> HistoryRecord:
+async def declare_first_history(store: Store, adopt: bool, archived_answers: bool = False) -> HistoryRecord:
     """Says that the state service's data is a new installation, or one that had no recovery so far.
 
     Nobody else can tell a new installation from one that was wiped, so no controller ever does this by itself.
@@ -84,7 +87,7 @@
     own = [item.key for item in page.items if not item.key.startswith((records.MEMBER, records.LEADER, records.PART))]
     if own and not adopt:
         raise OperatorError("there are records already: --adopt declares them whole")
-    history = HistoryRecord(os.urandom(6).hex(), 1)
+    history = HistoryRecord(os.urandom(6).hex(), 1, archived_answers=archived_answers)
     txn = wire.Txn(
         [wire.Guard(CURRENT, 0), wire.Guard(CLAIM, 0)],
         [wire.Put(CURRENT, history), wire.Put(OPEN + history.name, OpenMarker(1))],
@@ -122,6 +125,30 @@
     await _commit(store, wire.Txn(guards, [wire.Put(CURRENT, certain)]))
 
 
+async def purge(store: Store) -> int:
+    """Deletes what earlier histories left in the state service; how many keys."""
+    history = await _history(store)
+    guards = await _guards(store, history)
+    count, after = 0, None
+    while True:
+        page = await store.page("", after)
+        old = [item.key for item in page.items if _is_left_over(item.key, history)]
+        for at in range(0, len(old), PURGE_AT_ONCE):
+            batch = old[at : at + PURGE_AT_ONCE]
+            await _commit(store, wire.Txn(guards, [wire.Delete(key) for key in batch]))
+            count += len(batch)
+        if not page.more or not page.items:
+            return count
+        after = page.items[-1].key
+
+
+def _is_left_over(key: str, history: HistoryRecord) -> bool:
+    """Nobody who works in the history reads the key. The first history's leader keeps earlier versions from leading."""
+    if history.number == 1 or key.startswith(HISTORY):
+        return False
+    return not key.startswith(history.prefix) and key != records.LEADER
+
+
 async def _history(store: Store) -> HistoryRecord:
     item = await store.get(CURRENT)
     if item is None:
--- a/spurarch/recovery/rebuild.py
+++ b/spurarch/recovery/rebuild.py
@@ -248,7 +248,7 @@
         ended knew of; whoever answered it last has stopped so early that its lease is over after `cancel_s`.
         """
         self._advance(Step.COLLECTING)
-        evidence = Evidence(gathered.sources, {}, gathered.complete, lost.uncertain)
+        evidence = Evidence(gathered.sources, {}, gathered.complete, lost.uncertain, lost.archived_answers)
         await self._choose_epoch(lost, gathered.sources)
         copied = [s for s in gathered.sources if s.kind is SourceKind.REPLICA]
         needed = machines_on_record(copied if gathered.complete else gathered.sources)
@@ -323,7 +323,7 @@
         self._advance(Step.WRITING)
         packed = self._pack(picture.finals)
         history = HistoryRecord(
-            self._name, lost.number + 1, self._epoch, len(packed), picture.uncertain, lost.name
+            self._name, lost.number + 1, self._epoch, len(packed), picture.uncertain, lost.name, lost.archived_answers
         )  # fmt: skip
         puts: list[wire.Put] = []
         for key, value in self._records_of(picture, packed):
--- a/spurarch/recovery/service.py
+++ b/spurarch/recovery/service.py
@@ -152,8 +152,8 @@
     async def _doubt_emptiness(self) -> None:
         """An empty state service is either new or was wiped: an archive or another controller knows which."""
         head = await copies.archive_head(self._archive) if self._archive is not None else None
-        if head is not None and head.history:
-            self._lose_known(HistoryRecord(head.history, head.number), f"no history, the archive has {head.history}")
+        if head is not None and head.history is not None:
+            self._lose_known(head.history, f"no history, the archive has {head.history.name}")
             return
         for answer in await self._ask_revisions():
             if answer.history:
@@ -171,7 +171,7 @@
         """The newest revision of a history that the archive or another controller has seen."""
         seen = [answer.revision for answer in await self._ask_revisions() if answer.history == history]
         head = await copies.archive_head(self._archive) if self._archive is not None else None
-        if head is not None and head.history == history:
+        if head is not None and head.history is not None and head.history.name == history:
             seen.append(head.revision)
         return max(seen, default=0)
 
--- a/spurarch/storage/history.py
+++ b/spurarch/storage/history.py
@@ -12,11 +12,13 @@
 
 import enum
 import zlib
+from collections.abc import Iterable
 
 import msgspec
 from msgspec import Struct
 
 from spurarch.protocol import wire
+from spurarch.storage.records import LEADER, MEMBER
 from spurarch.storage.store import Outcome, StoreUnavailableError, Verdict
 
 HISTORY = "history/"
@@ -24,6 +26,7 @@
 OPEN, REBUILD = "history/open/", "history/rebuild/"
 PACKED = "packed/"
 DOUBT = "doubt/"  # records under a history's prefix that only operators read
+UNARCHIVED = (MEMBER, LEADER)  # of no use once they are old
 VERIFY_AFTER_S = 2.0  # without a read: the marker is read again before an answer is believed
 
 
@@ -32,7 +35,8 @@
 
     `epoch` lies above every partition epoch that an earlier history can have given. `packed` is the number of records
     that hold the final standings of earlier histories. While `uncertain`, jobs may have been accepted that nobody knows.
-    `parent` is the history that this one was rebuilt from.
+    `parent` is the history that this one was rebuilt from. In one with `archived_answers`, users are told that a job is
+    accepted, cancelled or over only once the archive holds the record of it.
     """
 
     name: str
@@ -41,6 +45,7 @@
     packed: int = 0
     uncertain: bool = False
     parent: str = ""
+    archived_answers: bool = False
 
     @property
     def prefix(self) -> str:
@@ -124,6 +129,7 @@
         self.reason = "the history is not known yet"
         self.record = HistoryRecord("", 1)
         self.highest = 0  # revision seen
+        self.recorded = 0  # newest revision seen that changed what is archived
         self.archived = 0  # revision that the archive covers
         self.verified_at = float("-inf")  # the marker was in force then
         self._open_version = 0
@@ -179,6 +185,11 @@
         self.check_open()
         self.verified_at = now
 
+    def note_recorded(self, keys: Iterable[str], revision: int) -> None:
+        """Records have changed at a revision; the archive will cover it if it holds any of them."""
+        if revision > self.recorded and any(not key.startswith(UNARCHIVED) for key in keys):
+            self.recorded = revision
+
     def needs_verification(self, now: float) -> bool:
         """Nothing was read for so long that another history may have begun and grown past ours."""
         return now - self.verified_at > VERIFY_AFTER_S
@@ -227,6 +238,7 @@
         logical = self.logical(key)
         if logical is None:
             return None
+        self.note_recorded((logical,), event.version)
         if event.put is not None:
             return wire.Event(event.version, logical, None, event.value)
         return wire.Event(event.version, None, logical)
--- a/spurarch/storage/store.py
+++ b/spurarch/storage/store.py
@@ -211,6 +211,7 @@
         history.check_revision(before, page.revision, time.monotonic())
         for item in page.items:
             item.key = history.logical(item.key) or item.key
+            history.note_recorded((item.key,), item.version)
         return page
 
     async def _page(self, prefix: str, after: str | None) -> wire.Page:
@@ -261,7 +262,10 @@
             before = history.check_open()
         except StoreUnavailableError:
             return Outcome(Verdict.REFUSED)
-        return history.judge(before, await self._txn(history.bound(txn), urgency), time.monotonic())
+        outcome = history.judge(before, await self._txn(history.bound(txn), urgency), time.monotonic())
+        if outcome.verdict is Verdict.DONE:
+            history.note_recorded((change.key for change in txn.then), outcome.revision)
+        return outcome
 
     async def _txn(self, txn: wire.Txn, urgency: Urgency) -> Outcome:
         started = time.monotonic()
--- a/spurarch/transport/sockets.py
+++ b/spurarch/transport/sockets.py
@@ -71,21 +71,25 @@
             open_now -= 1
             await sock.close()
 
-    while True:
-        try:
-            sock, _ = await listener.accept()
-        except OSError as err:
-            log.warning("accept failed: %s", err)
-            await curio.sleep(ACCEPT_PAUSE_S)
-            continue
+    async def accept_one() -> None:
+        sock, _ = await listener.accept()
         if open_now >= max_open:
             await make_room()
         if open_now >= max_open:
             await sock.close()
-            continue
+            return
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
             await sock.close()
-            continue
+            return
         await curio.spawn(attend, sock, daemon=True)
+
+    # The address is free again at the end: a controller that begins anew after a recovery listens there once more.
+    async with listener:
+        while True:
+            try:
+                await accept_one()
+            except OSError as err:
+                log.warning("accept failed: %s", err)
+                await curio.sleep(ACCEPT_PAUSE_S)
--- /dev/null
+++ b/tests/outcomes.py
@@ -0,0 +1,105 @@
+"""An independent log of what workers and users saw, and a checker of every job's outcome.
+
+The log knows nothing of the controllers: workers write what they start and complete, users what they are told.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import defaultdict
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+ACCEPTED, ASKED_TO_CANCEL, TOLD, STARTED, COMPLETED, LEFT = (
+    "accepted", "asked to cancel", "told", "started", "completed", "left",
+)  # fmt: skip
+FINAL = {"done", "aborted"}
+
+
+@dataclass(frozen=True)
+class Event:
+    """One thing that a worker or a user saw."""
+
+    at: float
+    kind: str
+    job: str
+    task: int = -1
+    machine: str = ""
+    detail: str = ""
+
+
+@dataclass
+class OutcomeLog:
+    """Events in the order in which they were seen."""
+
+    tasks: dict[str, int] = field(default_factory=dict)  # by job; 0 for services
+    events: list[Event] = field(default_factory=list)
+
+    def note(self, event: Event) -> None:
+        """Adds an event."""
+        self.events.append(event)
+
+    def write(self, path: Path) -> None:
+        """Keeps the log as lines of JSON."""
+        lines = [json.dumps({"tasks": self.tasks}), *(json.dumps(asdict(event)) for event in self.events)]
+        path.write_text("\n".join(lines) + "\n")
+
+
+def check(log: OutcomeLog) -> list[str]:
+    """Everything that is wrong with the outcomes of the jobs that were accepted."""
+    by_job: dict[str, list[Event]] = defaultdict(list)
+    for event in log.events:
+        by_job[event.job].append(event)
+    out = _overlaps(log.events)
+    for job, tasks in log.tasks.items():
+        out += _check_job(job, tasks, by_job[job])
+    return out
+
+
+def _check_job(job: str, tasks: int, events: list[Event]) -> list[str]:
+    out = []
+    told = [event.detail for event in events if event.kind == TOLD]
+    if not any(event.kind == ACCEPTED for event in events):
+        return [f"{job}: was never accepted"]
+    finals = list(dict.fromkeys(state for state in told if state in FINAL))
+    asked = any(event.kind == ASKED_TO_CANCEL for event in events)
+    if len(finals) > 1:
+        out.append(f"{job}: told {' and '.join(finals)}")
+    if finals and told[told.index(finals[0]) :] != finals[:1] * len(told[told.index(finals[0]) :]):
+        out.append(f"{job}: told {told[-1]} after {finals[0]}")
+    if not finals and (tasks or asked):
+        out.append(f"{job}: has no final answer")
+    if finals == ["aborted"] and not asked:
+        out.append(f"{job}: aborted, though nobody asked")
+    if finals == ["done"]:
+        out += _check_done(job, tasks, events)
+    if not tasks and not asked and told[-1:] != ["running"]:
+        out.append(f"{job}: a service that is {told[-1] if told else 'unknown'} at the end")
+    return out
+
+
+def _check_done(job: str, tasks: int, events: list[Event]) -> list[str]:
+    first = next(i for i, event in enumerate(events) if event.kind == TOLD and event.detail == "done")
+    completed = {event.task for event in events[:first] if event.kind == COMPLETED}
+    missing = sorted(set(range(tasks)) - completed)
+    return [f"{job}: done without tasks {missing}"] if missing else []
+
+
+def _overlaps(events: list[Event]) -> list[str]:
+    """Tasks that started on one machine while they were on another."""
+    out, where = [], dict[tuple[str, int], str]()
+    for event in events:
+        key = (event.job, event.task)
+        if event.kind == STARTED:
+            if where.get(key, event.machine) != event.machine:
+                out.append(f"{event.job}/{event.task}: on {where[key]} and {event.machine}")
+            where[key] = event.machine
+        elif event.kind in (LEFT, COMPLETED) and where.get(key) == event.machine:
+            del where[key]
+    return out
+
+
+def repeated_starts(log: OutcomeLog) -> int:
+    """Starts of tasks beyond the first of each: work that was done again, or begun again after a loss."""
+    starts = [(event.job, event.task) for event in log.events if event.kind == STARTED]
+    return len(starts) - len(set(starts))
--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -78,6 +78,7 @@
         self.submitted: dict[str, float] = {}
         self.random = Random(1)
         self.late_reports_until, self.late_reports_share, self.late_reports = 0.0, 0.0, 0
+        self.worker_address = "10.1.0.{}:9000"
         self.ended: list[str] = []  # jobs of which the last task has just ended
 
     def is_gang(self, job: str) -> bool:
@@ -144,7 +145,7 @@
         self, world: World, name: str, kind: Kind, zone: str, spot: bool, nodes: list[tuple[str, str]]
     ) -> None:
         self.world, self.name, self.kind, self.zone, self.spot = world, name, kind, zone, spot
-        self.addr = f"10.1.0.{name[3:].lstrip('0') or '0'}:9000"
+        self.addr = world.worker_address.format(name[3:].lstrip("0") or "0")
         self.nodes, self.node = nodes, 0
         self.up = True
         self.hang_until = 0.0
--- a/tests/sim/recovery.py
+++ b/tests/sim/recovery.py
@@ -26,11 +26,12 @@
 class RecoveryPlay(Play):
     """A play whose controllers have recovery.
 
-    Two lines more may stand in a scenario: `archive off`, and `without NODE...` for controllers of a version without it.
+    Three lines more may stand in a scenario: `archive off`, `answers archived`, and `without NODE...` for controllers of
+    a version without it.
     """
 
     def __init__(self, scenario: Scenario, seed: int = 1) -> None:
-        self._archive, self._without = True, set[str]()
+        self._archive, self._without, self._archived_answers = True, set[str](), False
         super().__init__(scenario, seed)
         self.tuning.recovery = True
         self.tuning.archive_address = ARCHIVE if self._archive else ""
@@ -45,6 +46,8 @@
     def _set_up(self, words: list[str], kinds: list[Kind], machines: list[list[str]]) -> None:
         if words[0] == "archive":
             self._archive = words[1] != "off"
+        elif words[0] == "answers":
+            self._archived_answers = words[1] == "archived"
         elif words[0] == "without":
             self._without.update(words[1:])
         else:
@@ -88,7 +91,7 @@
     async def _main(self) -> None:
         network = SimNetwork(self.wire, "operator")
         store = Store(network.client(STATE, 1), self.platform(0).deployment.state, 1)
-        await declare_first_history(store, adopt=False)
+        await declare_first_history(store, False, self._archived_answers)
         if self._archive:
             await self.start_archiver()
         await super()._main()
--- /dev/null
+++ b/tests/test_archive.py
@@ -0,0 +1,432 @@
+"""The archive's files and its archiver: what is on disk is whole, or is said not to be."""
+
+from __future__ import annotations
+
+import errno
+import json
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import curio
+import pytest
+
+from spurarch.archive import directory as archive
+from spurarch.archive import format as files
+from spurarch.archive.commands import newest_archived
+from spurarch.archive.directory import ArchiveBusyError, ChangeLog, EmptyArchiveError, Point, read_point
+from spurarch.archive.follower import Follower, FollowerPhase, RivalArchiverError
+from spurarch.archive.format import DamagedFileError, Entry, FileHeader, FileKind
+from spurarch.archive.server import ArchiveServer
+from spurarch.cli import main
+from spurarch.protocol import wire
+from spurarch.recovery.operators import declare_first_history
+from spurarch.settings import StateLimits
+from spurarch.storage.history import ARCHIVED, CURRENT, HistoryRecord, OpenMarker
+from spurarch.storage.store import Store
+from spurarch.transport.http import Request
+from tests.sim.clock import Clock
+from tests.sim.net import SimNetwork, Wire
+from tests.sim.store import FakeStore
+
+STATE = "10.2.0.1:2379"
+LIMITS = StateLimits(200.0, 80.0, 8.0, 24)
+
+
+def entry(number: int, revision: int, value: str | None = "x") -> Entry:
+    return Entry(revision, f"live/job/job-{number}", None if value is None else json.dumps(value).encode())
+
+
+def point(revision: int, count: int) -> Point:
+    out = Point("aa", 1, revision)
+    for number in range(count):
+        out.apply(entry(number, revision))
+    out.revision = revision
+    return out
+
+
+def small_archive(root: Path) -> Path:
+    """A snapshot at 10 with three records, and a log with four batches up to 50."""
+    start = point(10, 3)
+    archive.write_snapshot(root, start)
+    log = ChangeLog(root, start)
+    for number, revision in enumerate((20, 30, 40, 50)):
+        log.append([entry(10 + number, revision), entry(number, revision, None)], revision)
+    return archive.histories(root)[0]
+
+
+def test_snapshot_and_log_give_the_newest_point_and_earlier_ones(tmp_path: Path) -> None:
+    where = small_archive(tmp_path)
+    newest = read_point(where)
+    assert (newest.revision, sorted(newest.records)) == (50, [f"live/job/job-{n}" for n in (10, 11, 12, 13)])
+    earlier = read_point(where, 35)
+    assert (earlier.revision, sorted(earlier.records)) == (30, [f"live/job/job-{n}" for n in (10, 11, 2)])
+    with pytest.raises(EmptyArchiveError):
+        read_point(where, 9)
+
+
+def test_a_log_cut_off_anywhere_gives_the_last_whole_batch(tmp_path: Path) -> None:
+    """A crash of the archiver, or of its machine, in the middle of writing a batch."""
+    where = small_archive(tmp_path)
+    log = next(f.path for f in archive.files(where) if f.header.kind is FileKind.LOG)
+    whole = log.read_bytes()
+    ends = [block.end for block in files.read_blocks(log)]
+    header_end = ends[0] - (ends[1] - ends[0])
+    revisions = [20, 30, 40, 50]
+    for length in range(max(header_end, ends[0] - 20), len(whole) + 1, 3):
+        log.write_bytes(whole[:length])
+        expected = max([10, *(r for r, end in zip(revisions, ends, strict=True) if end <= length)])
+        assert read_point(where).revision == expected, length
+
+
+@pytest.mark.parametrize("which", ["snapshot", "log"])
+def test_an_altered_block_is_named(tmp_path: Path, which: str) -> None:
+    where = small_archive(tmp_path)
+    file = next(f.path for f in archive.files(where) if f.header.kind.value == which)
+    whole = bytearray(file.read_bytes())
+    first_end = next(files.read_blocks(file)).end
+    found = set()
+    for at in range(first_end - 40, first_end, 2):
+        altered = bytearray(whole)
+        altered[at] ^= 0x55
+        file.write_bytes(bytes(altered))
+        with pytest.raises(DamagedFileError, match=rf"{file.name}: block 0"):
+            archive.verify(where)
+        found.add(at)
+    assert len(found) == 20
+
+
+def test_a_missing_block_of_a_snapshot_is_noticed(tmp_path: Path) -> None:
+    archive.write_snapshot(tmp_path, point(10, 5000))
+    where = archive.histories(tmp_path)[0]
+    file = archive.files(where)[0].path
+    blocks = [block.end for block in files.read_blocks(file)]
+    assert len(blocks) > 2
+    file.write_bytes(file.read_bytes()[: blocks[-2]])
+    with pytest.raises(DamagedFileError, match="a block is missing"):
+        read_point(where)
+
+
+def test_a_later_schema_is_refused(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    with monkeypatch.context() as patch:
+        patch.setattr(files, "SCHEMA_VERSION", 9)
+        archive.write_snapshot(tmp_path, point(10, 2))
+    with pytest.raises(DamagedFileError, match="schema 9"):
+        archive.files(archive.histories(tmp_path)[0])
+
+
+def test_a_log_of_another_history_is_refused(tmp_path: Path) -> None:
+    where = small_archive(tmp_path)
+    with (where / "log-0000000000000060.avro").open("wb") as file:
+        files.write_file(file, FileHeader(FileKind.LOG, "bb", 1, 50), [])
+    with pytest.raises(DamagedFileError, match="of history bb, not aa"):
+        read_point(where)
+
+
+def test_a_log_that_begins_too_late_is_refused(tmp_path: Path) -> None:
+    where = small_archive(tmp_path)
+    with (where / "log-0000000000000060.avro").open("wb") as file:
+        files.write_file(file, FileHeader(FileKind.LOG, "aa", 1, 60), [])
+    with pytest.raises(DamagedFileError, match="what comes before is missing"):
+        read_point(where)
+
+
+def test_files_that_were_not_finished_have_no_name_yet(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    where = small_archive(tmp_path)
+    before = sorted(path.name for path in where.iterdir())
+
+    def fail(*args: object) -> None:
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr("os.fsync", fail)
+        with pytest.raises(OSError, match="No space"):
+            archive.write_snapshot(tmp_path, point(60, 2))
+    assert sorted(f.path.name for f in archive.files(where)) == [name for name in before if name.endswith(".avro")]
+    assert read_point(where).revision == 50
+
+
+def test_a_batch_that_a_full_disk_did_not_take_leaves_the_log_as_it_was(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    start = point(10, 1)
+    archive.write_snapshot(tmp_path, start)
+    log = ChangeLog(tmp_path, start)
+    log.append([entry(7, 20)], 20)
+
+    def fail(*args: object) -> None:
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr("os.fsync", fail)
+        with pytest.raises(OSError, match="No space"):
+            log.append([entry(8, 30)], 30)
+    assert read_point(archive.histories(tmp_path)[0]).revision == 20
+    log.append([entry(9, 40)], 40)
+    assert "live/job/job-9" in read_point(archive.histories(tmp_path)[0]).records
+
+
+def test_two_archivers_do_not_share_a_directory(tmp_path: Path) -> None:
+    with archive.locked(tmp_path), pytest.raises(ArchiveBusyError), archive.locked(tmp_path):
+        pass
+
+
+def test_pruning_keeps_what_the_newest_snapshots_need(tmp_path: Path) -> None:
+    where = small_archive(tmp_path)
+    for revision in (60, 70):
+        archive.write_snapshot(tmp_path, point(revision, 2))
+    removed = archive.prune(where, 2)
+    assert sorted(path.name.split("-")[0] for path in removed) == ["log", "snapshot"]
+    assert read_point(where).revision == 70
+    assert archive.prune(where, 2) == []
+
+
+# The commands
+
+
+def test_commands_print_and_refuse_in_one_line(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    root = tmp_path / "archive"
+    where = small_archive(root)
+    assert main(["archive", "verify", "--directory", str(root)]) == 0
+    assert "good up to revision 50: 4 records" in capsys.readouterr().out
+    assert main(["archive", "show", "--directory", str(root), "--revision", "30", "--prefix", "live/job/job-2"]) == 0
+    shown = capsys.readouterr().out.splitlines()
+    assert shown[0].startswith("# history aa, revision 30")
+    assert [json.loads(line)["key"] for line in shown[1:]] == ["live/job/job-2"]
+    assert main(["archive", "list", "--directory", str(root)]) == 0
+    assert "snapshot from revision 10" in capsys.readouterr().out
+    snapshot = next(f.path for f in archive.files(where) if f.header.kind is FileKind.SNAPSHOT)
+    snapshot.write_bytes(snapshot.read_bytes()[:-30])
+    for command in ("verify", "show"):
+        assert main(["archive", command, "--directory", str(root)]) == 2
+        error = capsys.readouterr().err
+        assert snapshot.name in error
+        assert "block 0" in error
+        assert error.count("\n") == 1
+    assert main(["archive", "verify", "--directory", str(tmp_path / "none")]) == 2
+    assert main(["archive", "verify", "--directory", str(root), "--history", "zz"]) == 2
+
+
+# The archiver, over a stand-in state service in virtual time
+
+
+class Archived:
+    """A state service with a first history, and archivers of it."""
+
+    def __init__(self, root: Path) -> None:
+        self.clock, self.root = Clock(), root
+        self.wire = Wire(self.clock, Random(1))
+        self.store = FakeStore(self.clock, Random(2), 500.0, 500.0, 8.0, 24)
+        self.wire.hosts[STATE] = "store"
+        self.wire.doors[STATE] = self.store.handler_for
+        self.network = SimNetwork(self.wire, "archive")
+        self.client = Store(self.network.client(STATE, 4), LIMITS, 1)
+
+    def run(self, main: Any) -> None:
+        """Runs in virtual time."""
+        self.clock.run(main)
+
+    async def begin(self) -> tuple[Follower, Any]:
+        """Starts an archiver on the disk as it is."""
+        follower = Follower(self.client, self.root, newest_archived(self.root))
+        return follower, await curio.spawn(follower.run, daemon=True)
+
+    def put(self, key: str, value: object) -> None:
+        """A change."""
+        self.store.revision += 1
+        self.store.keys[key] = value, self.store.revision, None
+        self.store.events.append((self.store.revision, {"write": key, "value": value, "stamp": self.store.revision}))
+
+    def drop(self, key: str) -> None:
+        """A deletion."""
+        self.store.revision += 1
+        del self.store.keys[key]
+        self.store.events.append((self.store.revision, {"drop": key, "stamp": self.store.revision}))
+
+    def records(self) -> dict[str, Any]:
+        """What the archive should hold."""
+        return {k: v[0] for k, v in self.store.keys.items() if k.startswith(("live/job", "final/"))}
+
+    def archived(self) -> dict[str, Any]:
+        """What it holds."""
+        newest = newest_archived(self.root)
+        assert newest is not None
+        return {key: json.loads(e.value or b"null") for key, e in newest.records.items() if key != CURRENT}
+
+
+def test_pages_read_while_records_change_become_one_consistent_snapshot(tmp_path: Path) -> None:
+    world = Archived(tmp_path)
+    moments: list[tuple[int, dict[str, Any]]] = []
+
+    async def change() -> None:
+        random = Random(5)
+        for step in range(300):
+            job = f"live/job/job-{random.randrange(2600)}"
+            if job in world.store.keys and random.random() < 0.5:
+                world.drop(job)
+            else:
+                world.put(job, step)
+            moments.append((world.store.revision, world.records()))
+            await curio.sleep(0.001)
+
+    async def main() -> None:
+        await declare_first_history(world.client, False)
+        for number in range(2500):
+            world.put(f"live/job/job-{number}", "old")
+        changing = await curio.spawn(change)
+        follower, _ = await world.begin()
+        while follower.phase is not FollowerPhase.FOLLOWING:
+            await curio.sleep(0.0005)
+        snapshot = read_point(archive.histories(tmp_path)[0])
+        seen = dict(moments)
+        assert snapshot.revision in seen, "the snapshot fell into the time of the changes"
+        expected = seen[snapshot.revision]
+        assert {k: json.loads(e.value or b"") for k, e in snapshot.records.items() if k != CURRENT} == expected
+        await changing.join()
+        await curio.sleep(5)
+        assert world.archived() == world.records()
+
+    world.run(main)
+
+
+def test_missed_changes_begin_a_new_snapshot(tmp_path: Path) -> None:
+    world = Archived(tmp_path)
+
+    async def main() -> None:
+        await declare_first_history(world.client, False)
+        follower, _ = await world.begin()
+        await curio.sleep(2)
+        world.store.outage(20)
+        world.store.revision += 10_001
+        world.put("live/job/job-1", "x")
+        await curio.sleep(30)
+        assert follower.counts.snapshots == 2
+        assert world.archived() == {"live/job/job-1": "x"}
+
+    world.run(main)
+
+
+def test_what_is_published_is_on_disk(tmp_path: Path) -> None:
+    world = Archived(tmp_path)
+
+    async def main() -> None:
+        await declare_first_history(world.client, False)
+        await world.begin()
+        for number in range(40):
+            world.put(f"live/job/job-{number}", number)
+            await curio.sleep(0.07)
+            published = world.store.keys.get(ARCHIVED)
+            if published is not None:
+                newest = newest_archived(tmp_path)
+                assert newest is not None
+                assert newest.revision >= published[0]["revision"]
+        await curio.sleep(2)
+        revision = world.store.revision
+        await curio.sleep(20)
+        assert world.store.revision == revision, "with no news, nothing is published"
+
+    world.run(main)
+
+
+def test_an_archiver_that_ends_at_any_moment_goes_on_after_its_return(tmp_path: Path) -> None:
+    world = Archived(tmp_path)
+
+    async def main() -> None:
+        await declare_first_history(world.client, False)
+        random = Random(3)
+        for life in range(12):
+            _, task = await world.begin()
+            end = world.clock.now + random.random() * 1.5
+            number = 0
+            while world.clock.now < end:
+                number += 1
+                world.put(f"live/job/job-{life}-{number}", life)
+                await curio.sleep(0.05)
+            await task.cancel()
+        await world.begin()
+        await curio.sleep(5)
+        assert world.archived() == world.records()
+
+    world.run(main)
+
+
+def test_a_second_archiver_gives_way(tmp_path: Path) -> None:
+    world = Archived(tmp_path)
+
+    async def load() -> None:
+        for number in range(100):
+            world.put("live/job/job-1", number)
+            await curio.sleep(0.1)
+
+    async def main() -> None:
+        await declare_first_history(world.client, False)
+        await world.begin()
+        await curio.spawn(load, daemon=True)
+        await curio.sleep(1)
+        with pytest.raises(RivalArchiverError):
+            await Follower(world.client, tmp_path / "other").run()
+
+    world.run(main)
+
+
+def test_a_state_service_that_went_back_is_sealed_and_not_followed(tmp_path: Path) -> None:
+    world = Archived(tmp_path)
+
+    async def main() -> None:
+        history = await declare_first_history(world.client, False)
+        follower, task = await world.begin()
+        world.put("live/job/job-1", "early")
+        await curio.sleep(1)
+        saved = world.store.revision, dict(world.store.keys)
+        world.put("live/job/job-2", "late")
+        await curio.sleep(1)
+        await task.cancel()  # it is away as that happens
+        world.store.go_back_to(*saved)
+        follower, _ = await world.begin()
+        await curio.sleep(2)
+        assert follower.phase is FollowerPhase.SEALED
+        assert f"history/open/{history.name}" not in world.store.keys
+        assert world.archived() == {"live/job/job-1": "early", "live/job/job-2": "late"}
+
+    world.run(main)
+
+
+def test_the_next_history_gets_a_directory_of_its_own(tmp_path: Path) -> None:
+    world = Archived(tmp_path)
+
+    async def main() -> None:
+        await declare_first_history(world.client, False)
+        follower, _ = await world.begin()
+        world.put("live/job/job-1", "first")
+        await curio.sleep(1)
+        world.store.wipe()
+        await curio.sleep(3)
+        later = HistoryRecord("bb", 2)
+        world.put("history/open/bb", {"number": 2})
+        world.put("history/current", json.loads(wire.encode(later)))
+        world.put("h2.bb/live/job/job-1", "second")
+        await curio.sleep(3)
+        assert follower.phase is FollowerPhase.FOLLOWING
+        assert [read_point(where).number for where in archive.histories(tmp_path)] == [1, 2]
+        assert world.archived() == {"live/job/job-1": "second"}
+
+    world.run(main)
+    assert OpenMarker(2).number == 2
+
+
+def test_the_server_gives_pages_of_one_point(tmp_path: Path) -> None:
+    where = small_archive(tmp_path)
+    server = ArchiveServer(lambda: read_point(where), lambda name: None)
+
+    async def main() -> None:
+        head = await server.handle(Request("GET", "/archive/head", b""))
+        assert json.loads(head.body)["revision"] == 50
+        assert json.loads(head.body)["history"]["name"] == "aa"
+        for target, status in (
+            ("/archive/records?history=aa&position=0", 200), ("/archive/records?history=zz&position=0", 404),
+            ("/archive/records?history=aa&position=-1", 400), ("/elsewhere", 404),
+        ):  # fmt: skip
+            assert (await server.handle(Request("GET", target, b""))).status == status
+        assert (await server.handle(Request("POST", "/archive/head", b""))).status == 405
+
+    curio.run(main)
--- a/tests/test_requests_and_settings.py
+++ b/tests/test_requests_and_settings.py
@@ -230,3 +230,25 @@
     path.write_text(PLATFORM)
     assert cli.main(["settings", "--config", str(path)]) == 0
     assert "round-s" in capsys.readouterr().out
+
+
+def test_a_server_that_ends_frees_its_address() -> None:
+    """A controller that began anew after a recovery could not listen where it had listened before."""
+    held = socket.socket()
+    held.bind(("127.0.0.1", 0))
+    address = f"127.0.0.1:{held.getsockname()[1]}"
+    held.close()
+
+    async def handle(request: Request) -> Response:
+        return Response(200)
+
+    async def main() -> list[int]:
+        out = []
+        for _ in range(2):
+            server = await curio.spawn(HttpServer(address, handle, 8).run)
+            await curio.sleep(0.05)
+            out.append((await HttpClient(address).request("GET", "/x", None, 5.0))[0])
+            await server.cancel()
+        return out
+
+    assert curio.run(main) == [200, 200]
--- a/tests/test_start_up.py
+++ b/tests/test_start_up.py
@@ -17,6 +17,7 @@
     "curio.channel", "curio.file", "curio.network", "curio.socket", "curio.ssl", "sexpdata",
     "spurarch.coordination.leader", "spurarch.coordination.admission", "spurarch.coordination.placing",
     "spurarch.coordination.local_search", "spurarch.coordination.tabu", "spurarch.coordination.provisioning",
+    "spurarch.storage.history", "spurarch.protocol.recovery_messages", "spurarch.recovery", "spurarch.archive",
 }  # fmt: skip
 MOST_MODULES = 170
 
