Recovery: names of installations, serving an earlier point, epochs chosen at once

Cause: with an owner gone, its workers were answered only after eight seconds of waiting for its copy, which a lease of ten does not always allow (scenario wiped-one-ended, seen to fail). An archive of another installation could have been rebuilt from. Change: the epoch is chosen as the history is sealed; records and archives carry the operators' name of the installation; the archiver publishes at most every 0.5 s; large merges are made in steps.

--- a/spurarch/archive/commands.py
+++ b/spurarch/archive/commands.py
@@ -20,9 +20,9 @@
     read_point,
     verify,
 )
-from spurarch.archive.follower import Follower, RivalArchiverError
+from spurarch.archive.follower import Follower, OtherInstallationError, RivalArchiverError
 from spurarch.archive.format import DamagedFileError
-from spurarch.archive.server import ArchiveServer
+from spurarch.archive.server import ArchiveServer, history_of
 from spurarch.settings import Platform, SettingsError, load_platform
 from spurarch.storage.store import Store
 from spurarch.transport.network import Network
@@ -42,7 +42,11 @@
     actions = parser.add_subparsers(dest="action", metavar="ACTION", required=True)
     run = actions.add_parser("run", help="follow the state service, and serve what is archived to controllers")
     run.add_argument("--config", required=True, metavar="FILE", help="the platform's TOML file")
-    run.add_argument("--listen", required=True, metavar="IP:PORT", help="where controllers ask for records")
+    run.add_argument("--installation", default="", metavar="NAME", help="as in the controllers' settings")
+    serving = actions.add_parser("serve", help="serve an archive as of a revision, without following the state service")
+    serving.add_argument("--revision", type=int, help="as of this revision; the newest if left out")
+    for action in (run, serving):
+        action.add_argument("--listen", required=True, metavar="IP:PORT", help="where controllers ask for records")
     show = actions.add_parser("show", help="print records, newest or as of a revision, a line of JSON each")
     show.add_argument("--revision", type=int, help="as of this revision")
     show.add_argument("--prefix", default="", help="only keys that begin with this")
@@ -50,18 +54,18 @@
     check = actions.add_parser("verify", help="read every file; exit code 2 if one can't be trusted")
     pruning = actions.add_parser("prune", help="remove what lies before the newest snapshots of each history")
     pruning.add_argument("--keep", type=int, default=2, metavar="N", help="snapshots to keep (2)")
-    for action in (run, show, listing, check, pruning):
+    for action in (run, serving, show, listing, check, pruning):
         action.add_argument("--directory", required=True, type=Path, metavar="DIR")
-    for action in (show, check):
+    for action in (serving, show, check):
         action.add_argument("--history", help="a history's name; the newest if left out")
 
 
 def run_command(args: argparse.Namespace) -> int:
     """Runs a command; returns its exit code."""
-    actions = {"run": _run, "show": _show, "list": _list, "verify": _verify, "prune": _prune}
+    actions = {"run": _run, "serve": _serve, "show": _show, "list": _list, "verify": _verify, "prune": _prune}
     try:
         return actions[args.action](args)
-    except (DamagedFileError, EmptyArchiveError, ArchiveBusyError, SettingsError) as err:
+    except (DamagedFileError, EmptyArchiveError, ArchiveBusyError, SettingsError, OtherInstallationError) as err:
         print(f"spurarch: {err}", file=sys.stderr)
         return USAGE
     except RivalArchiverError as err:
@@ -91,13 +95,18 @@
         return None
 
 
-async def serve(platform: Platform, root: Path, listen: str, network: Network | None = None) -> None:
+async def serve(
+    platform: Platform, root: Path, listen: str, network: Network | None = None, installation: str = ""
+) -> None:
     """Follows the state service and serves what is archived, until cancelled."""
     network = network or Network()
     limits = platform.deployment.state
     store = Store(network.client(platform.external.state, CONNECTIONS), limits, 1)
     store.set_shares(RATE_SHARE, RATE_SHARE)
-    follower = Follower(store, root, newest_archived(root))
+    earlier = newest_archived(root)
+    if earlier is not None and (found := history_of(earlier).installation) != installation:
+        raise OtherInstallationError(f"{root}: the archive is of installation {found!r}, not {installation!r}")
+    follower = Follower(store, root, earlier, installation)
     server = ArchiveServer(lambda: follower.point, lambda name: archived_history(root, name))
     async with curio.TaskGroup(wait=any) as group:
         await group.spawn(network.server(listen, server.handle, SERVER_CONNECTIONS).run)
@@ -113,12 +122,24 @@
     platform = load_platform(args.config)
     with locked(args.directory):
         try:
-            curio.run(serve, platform, args.directory, args.listen)
+            curio.run(serve, platform, args.directory, args.listen, None, args.installation)
         except KeyboardInterrupt:
             return 0
     return FAILED
 
 
+def _serve(args: argparse.Namespace) -> int:
+    """For going back to an earlier point: controllers that start beside an empty state service rebuild from it."""
+    point = read_point(_directory(args), args.revision)
+    server = ArchiveServer(lambda: point, lambda name: None)
+    print(f"serving history {point.history} as of revision {point.revision}", flush=True)
+    try:
+        curio.run(Network().server(args.listen, server.handle, SERVER_CONNECTIONS).run)
+    except KeyboardInterrupt:
+        return 0
+    return FAILED
+
+
 def _directory(args: argparse.Namespace) -> Path:
     found: list[Path] = histories(args.directory)
     if args.history:
--- a/spurarch/archive/follower.py
+++ b/spurarch/archive/follower.py
@@ -39,8 +39,8 @@
 
 WATCH_MS = 2000
 BATCH_S = 0.1  # changes are gathered for so long: a sync of the disk each
-PUBLISH_S = 0.25
-RIVAL_S = 10.0  # another archiver that published so recently is at work
+PUBLISH_S = 0.5  # a change of the state service each, while records change
+RIVAL_LOOK_S = 1.5  # another archiver that publishes within this is at work
 AGAIN_S = 0.5
 SNAPSHOT_LOG_BYTES = 8 << 20  # of changes, after which a new snapshot begins
 PREFIXES = ("live/", "final/", "packed/")
@@ -67,6 +67,10 @@
     """Another archiver has published its progress a moment ago."""
 
 
+class OtherInstallationError(Exception):
+    """State service and archive are not those of the installation that is meant."""
+
+
 @dataclass(slots=True)
 class FollowerCounts:
     """What was done since the start."""
@@ -75,14 +79,14 @@
     batches: int = 0
     changes: int = 0
     bytes_logged: int = 0
-    longest_lag_s: float = 0.0
+    published: int = 0
 
 
 class Follower:
     """Keeps an archive of the history in force, and stops at any sign that it is over."""
 
-    def __init__(self, store: Store, root: Path, earlier: Point | None = None) -> None:
-        self._store, self._root, self._earlier = store, root, earlier
+    def __init__(self, store: Store, root: Path, earlier: Point | None = None, installation: str = "") -> None:
+        self._store, self._root, self._earlier, self._installation = store, root, earlier, installation
         self.name = os.urandom(6).hex()  # of this archiver's process
         self.phase = FollowerPhase.CONNECTING
         self.point: Point | None = earlier
@@ -91,7 +95,8 @@
         self._current: Entry | None = None  # its own record, which is archived like the others
         self._log: ChangeLog | None = None
         self._revision = 0  # followed so far, with what is no record of the history
-        self._published = 0
+        self._published, self._publish_at = 0, 0.0
+        self._marker_version = 0
 
     def _advance(self, phase: FollowerPhase) -> None:
         if phase is self.phase:
@@ -127,9 +132,7 @@
         first = await self._store.get(ARCHIVED)
         if first is None:
             return
-        deadline = time.monotonic() + 2 * PUBLISH_S
-        while time.monotonic() < deadline:
-            await curio.sleep(PUBLISH_S)
+        await curio.sleep(RIVAL_LOOK_S)
         again = await self._store.get(ARCHIVED)
         if again is not None and again.version != first.version:
             raise RivalArchiverError(f"archiver {decode_archived(again.value).archiver} is at work")
@@ -143,9 +146,13 @@
         if history is None or (self._history is not None and history.number <= self._history.number):
             await curio.sleep(AGAIN_S)
             return
-        if await self._store.get(OPEN + history.name) is None:
+        marker = await self._store.get(OPEN + history.name)
+        if marker is None:
             await curio.sleep(AGAIN_S)
             return
+        if history.installation != self._installation:
+            raise OtherInstallationError(f"the state service holds installation {history.installation!r}")
+        self._marker_version = marker.version
         self._history, self._log, self._revision = history, None, 0
         self._current = Entry(item.version, CURRENT, bytes(item.value)) if item is not None else None
         if self._earlier is not None and self._earlier.history == history.name:
@@ -198,7 +205,8 @@
 
     async def _follow(self) -> None:
         started = time.monotonic()
-        changes = await self._store.watch(self._revision, WATCH_MS)
+        wait_ms = WATCH_MS if self._covered else int(1000 * max(0.0, self._publish_at - started))
+        changes = await self._store.watch(self._revision, wait_ms)
         if changes.revision < self._revision:
             await self._seal_in_store(f"revision {changes.revision} after {self._revision}")
             return
@@ -207,7 +215,6 @@
             return
         if entries:
             self._append(entries, changes.revision)
-            self.counts.longest_lag_s = max(self.counts.longest_lag_s, time.monotonic() - started - WATCH_MS / 1000)
         self._revision = changes.revision
         await self._publish()
         await curio.sleep(BATCH_S)
@@ -253,17 +260,23 @@
         """Tells the owners of partitions what is on disk; only after records have changed, since telling is a change."""
         assert self.point is not None
         assert self._history is not None
-        if self.point.revision <= self._published:
+        if self._covered or time.monotonic() < self._publish_at:
             return
-        record = ArchivedRecord(self._history.name, self.point.revision, self.name)
-        marker = await self._store.get(OPEN + self._history.name)
-        if marker is None:
-            self._seal("its marker is gone")
-            return
-        txn = wire.Txn([wire.Guard(OPEN + self._history.name, marker.version)], [wire.Put(ARCHIVED, record)])
-        outcome = await self._store.txn(txn, Urgency.USERS)
+        self._publish_at = time.monotonic() + PUBLISH_S
+        revision = self.point.revision
+        record = ArchivedRecord(self._history.name, revision, self.name)
+        guard = wire.Guard(OPEN + self._history.name, self._marker_version)
+        outcome = await self._store.txn(wire.Txn([guard], [wire.Put(ARCHIVED, record)]), Urgency.USERS)
         if outcome.verdict is Verdict.DONE:
-            self._published = self.point.revision
+            self._published = revision
+            self.counts.published += 1
+        elif outcome.verdict is Verdict.CONFLICT:
+            self._seal("its marker is gone")
+
+    @property
+    def _covered(self) -> bool:
+        """What is on disk has been published."""
+        return self.point is not None and self.point.revision <= self._published
 
     # The end
 
@@ -271,7 +284,7 @@
         """Nothing more is taken into this history's archive."""
         assert self._history is not None
         log.warning("archive: history %s is over: %s", self._history.name, reason)
-        self._published = 0
+        self._published, self._publish_at = 0, 0.0
         self._advance(FollowerPhase.SEALED)
 
     async def _seal_in_store(self, reason: str) -> None:
--- a/spurarch/archive/server.py
+++ b/spurarch/archive/server.py
@@ -59,12 +59,16 @@
             self._kept = Point(point.history, point.number, point.revision)
 
 
-def _head(point: Point) -> ArchiveHead:
+def history_of(point: Point) -> HistoryRecord:
+    """The record of the history whose records these are."""
     current = point.records.get(CURRENT)
-    history = HistoryRecord(point.history, point.number)
-    if current is not None and current.value is not None:
-        history = decode_history(current.value)
-    return ArchiveHead(history, point.revision, len(point.records))
+    if current is None or current.value is None:
+        return HistoryRecord(point.history, point.number)
+    return decode_history(current.value)
+
+
+def _head(point: Point) -> ArchiveHead:
+    return ArchiveHead(history_of(point), point.revision, len(point.records))
 
 
 def _error(status: int, message: str) -> Response:
--- a/spurarch/recovery/commands.py
+++ b/spurarch/recovery/commands.py
@@ -29,6 +29,7 @@
     init.add_argument(
         "--answer-after-archive", action="store_true", help="tell users only what the archive holds already"
     )
+    init.add_argument("--installation", default="", metavar="NAME", help="as in the controllers' settings")
     init.add_argument("--adopt", action="store_true", help="records that are there already are whole")
     status = actions.add_parser("status", help="which history is in force, and how far it is archived")
     doubts = actions.add_parser("doubts", help="what can't be known since the records were rebuilt")
@@ -62,7 +63,7 @@
 
 
 async def _init(store: Store, args: argparse.Namespace) -> None:
-    history = await operators.declare_first_history(store, args.adopt, args.answer_after_archive)
+    history = await operators.declare_first_history(store, args.adopt, args.answer_after_archive, args.installation)
     print(f"history {history.name} is open")
 
 
--- a/spurarch/recovery/merge.py
+++ b/spurarch/recovery/merge.py
@@ -19,7 +19,7 @@
 
 import enum
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from msgspec import Struct
@@ -37,6 +37,7 @@
     TaskEntry,
 )
 
+STEP = 200  # reports or jobs
 ATTEMPTS_UNSEEN = 1000  # attempts that may have been made without a trace, where records may be missing
 
 
@@ -95,7 +96,10 @@
 
 def merge(evidence: Evidence, tasks_per_record: int) -> Picture:
     """The picture that the evidence gives."""
-    return _Merger(evidence, tasks_per_record).run()
+    merger = Merger(evidence, tasks_per_record)
+    for _ in merger.steps():
+        pass
+    return merger.picture
 
 
 def alive_records(sources: Iterable[Source]) -> dict[str, Versioned]:
@@ -138,8 +142,8 @@
     return out
 
 
-class _Merger:
-    """One merge, step by step."""
+class Merger:
+    """One merge, in steps between which whoever merges may answer others: a large fleet takes seconds."""
 
     def __init__(self, evidence: Evidence, tasks_per_record: int) -> None:
         self._evidence, self._tasks_per_record = evidence, tasks_per_record
@@ -150,21 +154,28 @@
         self._alive = alive_records(self._copies)
         self._tasks: dict[str, dict[int, _Task]] = defaultdict(lambda: defaultdict(_Task))
         self._reopened: set[str] = set()  # jobs whose allocations are gone from the newest copy
-        self._out = Picture()
+        self.picture = self._out = Picture()
 
-    def run(self) -> Picture:
+    def steps(self) -> Iterator[None]:
+        """Makes the picture; it is whole at the end."""
         out = self._out
         out.set_aside = sum(source.unreadable for source in self._evidence.sources)
         out.uncertain = not self._finals_complete()
         self._take_finals()
+        yield
         self._take_jobs()
+        yield
         self._take_allocations()
-        for _, report in sorted(self._evidence.reports.items()):
+        yield
+        for number, (_, report) in enumerate(sorted(self._evidence.reports.items())):
             self._take_report(report)
-        for job in sorted(out.jobs):
+            if number % STEP == STEP - 1:
+                yield
+        for number, job in enumerate(sorted(out.jobs)):
             self._write_job(job)
+            if number % STEP == STEP - 1:
+                yield
         out.doubts = sorted(set(out.doubts))
-        return out
 
     def _finals_complete(self) -> bool:
         """Every controller gave its copy, and together with an archive they reach back to the beginning."""
@@ -310,7 +321,7 @@
                 where = AllocationKey(zone, job, chunk)
                 self._out.allocations[where] = AllocationRecord(entries[at : at + self._tasks_per_record])
                 chunk += 1
-        if admitted:
+        if 0 < admitted < record.spec.tasks:  # one that is admitted as a whole needs no count
             self._out.admitted[job] = AdmissionRecord(admitted, chunk)
 
     def _entry(self, index: int, task: _Task, place: _Placement | None) -> TaskEntry:
--- a/spurarch/recovery/operators.py
+++ b/spurarch/recovery/operators.py
@@ -76,7 +76,9 @@
         after = page.items[-1].key
 
 
-async def declare_first_history(store: Store, adopt: bool, archived_answers: bool = False) -> HistoryRecord:
+async def declare_first_history(
+    store: Store, adopt: bool, archived_answers: bool = False, installation: str = ""
+) -> HistoryRecord:
     """Says that the state service's data is a new installation, or one that had no recovery so far.
 
     Nobody else can tell a new installation from one that was wiped, so no controller ever does this by itself.
@@ -87,7 +89,7 @@
     own = [item.key for item in page.items if not item.key.startswith((records.MEMBER, records.LEADER, records.PART))]
     if own and not adopt:
         raise OperatorError("there are records already: --adopt declares them whole")
-    history = HistoryRecord(os.urandom(6).hex(), 1, archived_answers=archived_answers)
+    history = HistoryRecord(os.urandom(6).hex(), 1, archived_answers=archived_answers, installation=installation)
     txn = wire.Txn(
         [wire.Guard(CURRENT, 0), wire.Guard(CLAIM, 0)],
         [wire.Put(CURRENT, history), wire.Put(OPEN + history.name, OpenMarker(1))],
--- a/spurarch/recovery/rebuild.py
+++ b/spurarch/recovery/rebuild.py
@@ -21,7 +21,7 @@
 from spurarch.recovery.claim import HEARTBEAT_S, RebuildClaim
 from spurarch.recovery.collector import ReportCollector
 from spurarch.recovery.evidence import Evidence, Source, SourceKind
-from spurarch.recovery.merge import Picture, highest_epoch, machines_on_record, merge
+from spurarch.recovery.merge import Merger, Picture, highest_epoch, machines_on_record
 from spurarch.settings import Deployment
 from spurarch.storage import records
 from spurarch.storage.cloud import Cloud, CloudError
@@ -118,7 +118,7 @@
         lost = await self._seal()
         gathered = await self._gather(lost)
         evidence = await self._collect(lost, gathered)
-        picture = merge(evidence, records.tasks_per_record(self._around.deployment.state.value_bytes))
+        picture = await self._merge(evidence)
         log.info(
             "rebuilt: %d jobs, %d final standings, %d in doubt, %d set aside, %s", len(picture.jobs),
             len(picture.finals), len(picture.doubts), picture.set_aside, "uncertain" if picture.uncertain else "certain",
@@ -157,11 +157,25 @@
             if marker is not None:
                 changes.append(wire.Delete(OPEN + name))
                 guards.append(wire.Guard(OPEN + name, marker.version))
+        self._choose_epoch(lost)
         await self._commit(changes, guards)
         self._rebuild_version = self._claim.version
+        self._around.collector.begin(self._epoch)
         self._sealed_at = time.monotonic()
         return lost
 
+    def _choose_epoch(self, lost: HistoryRecord) -> None:
+        """An epoch above all that were given, whether any worker has shown it or not.
+
+        It is chosen at once, by what is known here: workers whose owner has ended have to be answered within what is left
+        of their leases, while copies of others are still being waited for.
+        """
+        own = self._around.own()
+        seen = max(lost.epoch, self._around.collector.highest_epoch, highest_epoch([own] if own is not None else []))
+        self._epoch = seen + EPOCHS_UNSEEN
+        if self._epoch > EPOCHS_MOST:
+            raise RebuildRefusedError("partition epochs are used up")
+
     # Copies
 
     async def _gather(self, lost: HistoryRecord) -> _Gathered:
@@ -249,7 +263,10 @@
         """
         self._advance(Step.COLLECTING)
         evidence = Evidence(gathered.sources, {}, gathered.complete, lost.uncertain, lost.archived_answers)
-        await self._choose_epoch(lost, gathered.sources)
+        if highest_epoch(gathered.sources) >= self._epoch:
+            around = self._around
+            around.collector.highest_epoch = max(around.collector.highest_epoch, highest_epoch(gathered.sources))
+            raise RebuildRefusedError("a copy shows a later epoch: beginning anew above it")
         copied = [s for s in gathered.sources if s.kind is SourceKind.REPLICA]
         needed = machines_on_record(copied if gathered.complete else gathered.sources)
         listed = gathered.complete
@@ -271,16 +288,6 @@
         await self._take_reports(evidence)
         return evidence
 
-    async def _choose_epoch(self, lost: HistoryRecord, sources: list[Source]) -> None:
-        """An epoch above all that were given, whether any worker has shown it or not."""
-        seen = max(highest_epoch(sources), self._around.collector.highest_epoch, lost.epoch)
-        self._epoch = seen + EPOCHS_UNSEEN
-        if self._epoch > EPOCHS_MOST:
-            raise RebuildRefusedError("partition epochs are used up")
-        await self._commit([])
-        self._around.collector.begin(self._epoch)
-        self._positions.clear()
-
     async def _take_reports(self, evidence: Evidence) -> None:
         """Newest reports from all controllers."""
         collector = self._around.collector
@@ -316,6 +323,13 @@
         needed.update(machine.id for machine in machines if machine.state != wire.FAILED)
         return True
 
+    async def _merge(self, evidence: Evidence) -> Picture:
+        merger = Merger(evidence, records.tasks_per_record(self._around.deployment.state.value_bytes))
+        for _ in merger.steps():
+            await curio.sleep(0)
+            await self._beat()
+        return merger.picture
+
     # Records
 
     async def _write(self, lost: HistoryRecord, picture: Picture) -> HistoryRecord:
@@ -323,7 +337,8 @@
         self._advance(Step.WRITING)
         packed = self._pack(picture.finals)
         history = HistoryRecord(
-            self._name, lost.number + 1, self._epoch, len(packed), picture.uncertain, lost.name, lost.archived_answers
+            self._name, lost.number + 1, self._epoch, len(packed), picture.uncertain, lost.name, lost.archived_answers,
+            lost.installation,
         )  # fmt: skip
         puts: list[wire.Put] = []
         for key, value in self._records_of(picture, packed):
--- a/spurarch/recovery/service.py
+++ b/spurarch/recovery/service.py
@@ -85,7 +85,7 @@
         owner: PartitionOwner, permissions: Permissions, cloud: Cloud, peers: dict[str, Calls], boot: str,
     ) -> None:  # fmt: skip
         self._node, self._boot, self._guard, self._replica, self._owner = platform.node, boot, guard, replica, owner
-        self._peers = peers
+        self._peers, self._installation = peers, tuning.installation
         deployment = platform.deployment
         self._store = Store(network.client(platform.external.state, CONNECTIONS), deployment.state, deployment.count)
         self._archive = network.client(tuning.archive_address, CONNECTIONS) if tuning.archive_address else None
@@ -138,6 +138,10 @@
             await self._doubt_emptiness()
             return
         history = decode_history(item.value)
+        if history.installation != self._installation:
+            log.error("the state service holds installation %r, not %r", history.installation, self._installation)
+            await curio.sleep(REFUSED_PAUSE_S)
+            return
         marker = await self._store.get(OPEN + history.name)
         if marker is None:
             self._lose_known(history, f"history {history.name} was sealed")
@@ -152,7 +156,9 @@
     async def _doubt_emptiness(self) -> None:
         """An empty state service is either new or was wiped: an archive or another controller knows which."""
         head = await copies.archive_head(self._archive) if self._archive is not None else None
-        if head is not None and head.history is not None:
+        if head is not None and head.history is not None and head.history.installation != self._installation:
+            log.error("the archive is of installation %r, not %r", head.history.installation, self._installation)
+        elif head is not None and head.history is not None:
             self._lose_known(head.history, f"no history, the archive has {head.history.name}")
             return
         for answer in await self._ask_revisions():
--- a/spurarch/settings.py
+++ b/spurarch/settings.py
@@ -201,6 +201,7 @@
     guarantee_wait_s: NotNegative = 8.0
     seed: int = 1
     recovery: bool = False
+    installation: Annotated[str, Meta(max_length=100, pattern=r"^[^\s]*$")] = ""
     archive_address: str = ""
     archive_away: Annotated[str, Meta(pattern="^(go-on|hold)$")] = "go-on"
     archive_patience_s: Positive = 20.0
--- a/spurarch/storage/history.py
+++ b/spurarch/storage/history.py
@@ -36,7 +36,8 @@
     `epoch` lies above every partition epoch that an earlier history can have given. `packed` is the number of records
     that hold the final standings of earlier histories. While `uncertain`, jobs may have been accepted that nobody knows.
     `parent` is the history that this one was rebuilt from. In one with `archived_answers`, users are told that a job is
-    accepted, cancelled or over only once the archive holds the record of it.
+    accepted, cancelled or over only once the archive holds the record of it. `installation` is the operators' name for
+    whose records these are.
     """
 
     name: str
@@ -46,6 +47,7 @@
     uncertain: bool = False
     parent: str = ""
     archived_answers: bool = False
+    installation: str = ""
 
     @property
     def prefix(self) -> str:
--- /dev/null
+++ b/tests/sim/measure_recovery.py
@@ -0,0 +1,186 @@
+"""Measures what a loss and its rebuilding cost: `python -m tests.sim.measure_recovery [--seeds N] [--directory DIR]`.
+
+Real processes on loopback for small fleets; for large ones the merge and the number of changes alone, since one machine
+can't run 4,000 workers. Figures depend on the machine; compare them with each other.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from random import Random
+
+import curio
+
+from spurarch.archive.directory import ChangeLog, Point, write_snapshot
+from spurarch.archive.format import Entry
+from spurarch.protocol import wire
+from spurarch.protocol.recovery_messages import StoredRecord
+from spurarch.recovery.evidence import Evidence, Source, SourceKind
+from spurarch.recovery.merge import merge
+from spurarch.storage import records
+from spurarch.storage.records import ASSIGNED, AllocationRecord, FinalRecord, JobRecord, TaskEntry
+from tests.outcomes import STARTED, TOLD, check, repeated_starts
+from tests.sim.loopback import Installation, Job, LoopbackSettings, play
+
+LIMIT_S = 240.0
+TASKS = 3
+
+
+@dataclass
+class Run:
+    """One loss."""
+
+    kind: str
+    machines: int
+    jobs: int
+    seed: int
+    refused_s: float = 0.0  # from the loss to the first user who was told to come back
+    opened_s: float = 0.0  # from the loss to the next history
+    last_final_s: float = 0.0  # from the loss to the last final answer
+    repeated: int = 0  # starts beyond the first
+    problems: list[str] = field(default_factory=list)
+
+
+def run_once(kind: str, machines: int, jobs: int, seed: int) -> Run:
+    """One loss, at a seeded moment under load."""
+    out = Run(kind, machines, jobs, seed)
+    random = Random(seed)
+    settings = LoopbackSettings(machines=machines, seed=seed, capacity=machines, limit=1e6)
+
+    async def story(it: Installation) -> None:
+        await it.operate("recovery", "init")
+        it.start_archiver()
+        for index in range(settings.controllers):
+            it.start_controller(index)
+        until = it.clock.now + LIMIT_S
+        for number in range(jobs):
+            job = Job(f"job-{number + 1}", TASKS, 1.0 + 8.0 * random.random())
+            await curio.spawn(it.submit, job, until, daemon=True)
+        share = 0.2 + 0.6 * random.random()
+        wanted = int(share * min(jobs * TASKS, 4 * machines))
+        await it.until(lambda: sum(e.kind == STARTED for e in it.log.events) >= wanted, LIMIT_S, "starts")
+        if kind == "all ended":
+            for index in range(settings.controllers):
+                it.kill(f"n{index}")
+        refused, lost_at = it.users.refused, it.clock.now
+        it.store.wipe()
+        if kind == "all ended":
+            for index in range(settings.controllers):
+                it.start_controller(index)
+        await it.until(lambda: it.users.refused > refused or it.history_number() == 2, LIMIT_S, "a refusal")
+        out.refused_s = it.clock.now - lost_at
+        await it.until(lambda: it.history_number() == 2, LIMIT_S, "history 2")
+        out.opened_s = it.clock.now - lost_at
+        await it.until(it.settled, LIMIT_S, "final answers")
+        finals = {e.job: e.at for e in reversed(it.log.events) if e.kind == TOLD and e.detail == "done"}
+        out.last_final_s = max(finals.values()) - lost_at
+        await curio.sleep(1.0)
+        out.repeated, out.problems = repeated_starts(it.log), check(it.log) + it.world.rules.broken
+
+    with tempfile.TemporaryDirectory() as directory:
+        play(Installation(settings, Path(directory)), story)
+    return out
+
+
+def spec(job: str, tasks: int) -> wire.Submission:
+    """A job of a made-up history."""
+    return wire.Submission(
+        job, "c", "t", wire.BATCH, "high", tasks, 1.0, 0.0, 1.0, "i", 0.1, False, False, False, 5.0, 0.0, 0.0
+    )
+
+
+def made_up(machines: int, finals: int) -> tuple[list[StoredRecord], list[wire.Report]]:
+    """Records and reports of a fleet with eight tasks on each machine."""
+    stored: list[StoredRecord] = []
+    reports: list[wire.Report] = []
+    for number in range(machines):
+        job, name = f"job-{number + 1}", f"vm-{number + 1:06d}"
+        tasks = [TaskEntry(index, ASSIGNED, 1, name, 1) for index in range(8)]
+        stored.append(StoredRecord(records.JOB + job, number + 1, wire.encode(JobRecord(spec(job, 8), 1.0))))
+        stored.append(StoredRecord(f"live/allot/a/{job}/0", number + 2, wire.encode(AllocationRecord(tasks))))
+        seen = [wire.TaskReport(f"{job}/{index}", 1, "running") for index in range(8)]
+        reports.append(wire.Report(name, "10.1.0.1:1", "small", "a", 1, 9, 1 << 50, seen))
+    for number in range(finals):
+        key = f"{records.FINAL}job-{machines + number + 1}"
+        stored.append(StoredRecord(key, number + 3, wire.encode(FinalRecord(wire.DONE, 3))))
+    return stored, reports
+
+
+@dataclass
+class MergeCost:
+    """What the merge of a large fleet takes."""
+
+    machines: int
+    finals: int
+    merge_s: float
+    changes: int  # of the state service, to write the picture
+    archive_bytes: int
+    snapshot_s: float
+
+
+def merge_cost(machines: int, finals: int, directory: Path) -> MergeCost:
+    """Five copies and all reports of a fleet, in this process."""
+    stored, reports = made_up(machines, finals)
+    sources = []
+    for number in range(5):
+        kind = SourceKind.ARCHIVE if number == 0 else SourceKind.REPLICA
+        source = Source(kind, f"n{number}", 0, machines + finals + 9)
+        for record in stored:
+            source.take(record)
+        sources.append(source)
+    began = time.perf_counter()
+    picture = merge(Evidence(sources, {r.machine: r for r in reports}, True), 100)
+    merge_s = time.perf_counter() - began
+    changes = len(picture.jobs) + len(picture.admitted) + len(picture.allocations) + -(-finals * 120 // 16384)
+    point = Point(f"m{machines}-{finals}", 1, machines + finals)
+    for record in stored:
+        point.apply(Entry(record.version, record.key, record.value))
+    began = time.perf_counter()
+    path = write_snapshot(directory, point)
+    return MergeCost(machines, finals, merge_s, changes, path.stat().st_size, time.perf_counter() - began)
+
+
+def log_cost(directory: Path) -> dict[str, float]:
+    """What a batch of changes takes on disk, its sync included."""
+    point = Point("log", 1, 1)
+    write_snapshot(directory, point)
+    log, times = ChangeLog(directory, point), []
+    value = wire.encode(AllocationRecord([TaskEntry(i, ASSIGNED, 1, f"vm-{i:06d}", 1) for i in range(25)]))
+    before = log.bytes
+    for number in range(200):
+        began = time.perf_counter()
+        log.append([Entry(number + 2, f"live/allot/a/job-{i}/0", value) for i in range(8)], number + 2)
+        times.append(time.perf_counter() - began)
+    times.sort()
+    return {
+        "batches": 200, "changes": 1600, "bytes a change": (log.bytes - before) / 1600, "median ms": 1000 * times[100],
+        "p99 ms": 1000 * times[198], "value bytes": float(len(value)),
+    }  # fmt: skip
+
+
+def main() -> None:
+    """Runs everything and prints a line of JSON for each."""
+    parser = argparse.ArgumentParser(description="Measures recovery on loopback.")
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--sizes", default="8x20,24x60,60x150", help="machines x jobs, comma-separated")
+    args = parser.parse_args()
+    show: Callable[[object], None] = lambda found: print(json.dumps(found), flush=True)  # noqa: E731
+    with tempfile.TemporaryDirectory() as directory:
+        for machines, finals in ((400, 10_000), (4000, 10_000), (4000, 100_000)):
+            show(asdict(merge_cost(machines, finals, Path(directory))))
+        show(log_cost(Path(directory)))
+    for size in args.sizes.split(","):
+        machines, jobs = map(int, size.split("x"))
+        for kind in ("all lived on", "all ended"):
+            for seed in range(1, args.seeds + 1):
+                show(asdict(run_once(kind, machines, jobs, seed)))
+
+
+if __name__ == "__main__":
+    main()
