--- a/tests/sim/store.py
+++ b/tests/sim/store.py
@@ -150,7 +150,7 @@
         return answer(200, {"key": key, "value": value, "stamp": stamp, "tether": lease_id})
 
     def _list(self, query: dict[str, str]) -> Response:
-        names = sorted(k for k in self.keys if k.startswith(query["prefix"]) and k > query.get("from", ""))
+        names = sorted(k for k in self.keys if k.startswith(query.get("prefix", "")) and k > query.get("from", ""))
         most = min(1000, int(query.get("most", 1000)))
         items = [{"key": k, "value": self.keys[k][0], "stamp": self.keys[k][1]} for k in names[:most]]
         return answer(200, {"items": items, "has_next": len(names) > most, "ledger": self.revision})
--- /dev/null
+++ b/tests/test_recovery_operators.py
@@ -0,0 +1,227 @@
+"""Operators' commands, and what happens with recovery off."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import curio
+import pytest
+
+from spurarch.archive.directory import histories, read_point
+from spurarch.archive.follower import Follower, OtherInstallationError
+from spurarch.archive.server import history_of
+from spurarch.cli import main
+from spurarch.protocol import wire
+from spurarch.recovery import operators
+from spurarch.recovery.coverage import ArchiveProgress
+from spurarch.recovery.merge import Doubt
+from spurarch.recovery.operators import OperatorError, declare_first_history
+from spurarch.settings import StateLimits, load_tuning
+from spurarch.storage.history import ARCHIVED, CURRENT, HistoryGuard, HistoryRecord
+from spurarch.storage.store import Store
+from tests.sim.clock import Clock
+from tests.sim.net import SimNetwork, Wire
+from tests.sim.recovery import RecoveryPlay
+from tests.sim.scenario import STATE, Play, Scenario
+from tests.sim.store import FakeStore
+
+DAY = """
+team t max=60
+type small cpus=4 boot=5
+machines small a 2
+at 1 submit job-1 tasks=4 run=5
+at 2 submit job-2 kind=daemon priority=production tasks=2
+at 12 cancel job-2
+end 30
+expect told job-1 done
+expect told job-2 aborted
+"""
+
+
+def with_store(story: Any) -> FakeStore:
+    clock = Clock()
+    network = Wire(clock, Random(1))
+    service = FakeStore(clock, Random(2), 500.0, 500.0, 8.0, 24)
+    network.hosts[STATE], network.doors[STATE] = "store", service.handler_for
+    client = Store(SimNetwork(network, "operator").client(STATE, 2), StateLimits(500.0, 500.0, 8.0, 24), 1)
+
+    async def run() -> None:
+        await story(client, service)
+
+    clock.run(run)
+    return service
+
+
+def put(service: FakeStore, key: str, value: object) -> None:
+    service.revision += 1
+    service.keys[key] = value, service.revision, None
+
+
+def test_a_history_is_declared_once() -> None:
+    async def story(client: Store, service: FakeStore) -> None:
+        history = await declare_first_history(client, False, True, "here")
+        status = await operators.read_status(client)
+        assert status.history == history
+        assert (history.archived_answers, history.installation, status.is_open) == (True, "here", True)
+        with pytest.raises(OperatorError, match="already"):
+            await declare_first_history(client, False)
+
+    with_store(story)
+
+
+def test_records_that_are_there_have_to_be_adopted() -> None:
+    async def story(client: Store, service: FakeStore) -> None:
+        put(service, "live/job/job-1", {})
+        with pytest.raises(OperatorError, match="--adopt"):
+            await declare_first_history(client, False)
+        await declare_first_history(client, True)
+
+    with_store(story)
+
+
+def test_a_job_in_doubt_is_settled_once_and_for_good() -> None:
+    async def story(client: Store, service: FakeStore) -> None:
+        await declare_first_history(client, False)
+        put(service, "final/job-1", {"state": "in doubt", "tasks": 3})
+        put(service, "doubt/job-1", {"job": "job-1", "kind": "outcome", "detail": "x"})
+        assert (await operators.read_status(client)).doubts == [Doubt("job-1", "outcome", "x")]
+        await operators.settle_job(client, "job-1", wire.DONE)
+        assert service.keys["final/job-1"][0] == {"state": "done", "tasks": 3}
+        with pytest.raises(OperatorError, match="not in doubt"):
+            await operators.settle_job(client, "job-1", wire.CANCELLED)
+
+    with_store(story)
+
+
+def test_nothing_is_settled_while_the_records_are_rebuilt() -> None:
+    async def story(client: Store, service: FakeStore) -> None:
+        history = await declare_first_history(client, False)
+        put(service, "doubt/job-1", {"job": "job-1", "kind": "outcome", "detail": "x"})
+        del service.keys[f"history/open/{history.name}"]
+        with pytest.raises(OperatorError, match="being rebuilt"):
+            await operators.settle_job(client, "job-1", wire.DONE)
+
+    with_store(story)
+
+
+def test_what_earlier_histories_left_is_deleted_and_nothing_else() -> None:
+    async def story(client: Store, service: FakeStore) -> None:
+        await declare_first_history(client, False)
+        put(service, CURRENT, {"name": "bb", "number": 3})
+        put(service, "history/open/bb", {"number": 3})
+        kept = {"h3.bb/live/job/job-1", "h3.bb/final/job-2", "live/leader", CURRENT, "history/open/bb"}
+        for key in [*kept, *(f"live/job/job-{n}" for n in range(9)), "h2.aa/final/job-1", "final/job-5"]:
+            if key not in service.keys:
+                put(service, key, {})
+        assert await operators.purge(client) == 11
+        assert kept <= set(service.keys)
+        assert not [k for k in service.keys if k.startswith(("live/job", "h2.", "final/"))]
+
+    with_store(story)
+
+
+def test_commands_refuse_in_one_line(capsys: pytest.CaptureFixture[str], tmp_path: Path) -> None:
+    assert main(["recovery", "status", "--config", str(tmp_path / "none.toml")]) == 2
+    assert capsys.readouterr().err.count("\n") == 1
+    for words in (
+        ["recovery", "settle", "--config", "x"],
+        ["archive", "nonsense"],
+        ["recovery", "settle", "--job", "1", "--as", "running"],
+    ):
+        with pytest.raises(SystemExit) as ended:
+            main(words)
+        assert ended.value.code == 2
+
+
+def test_settings_of_recovery_are_read(tmp_path: Path) -> None:
+    path = tmp_path / "features.sexp"
+    path.write_text(Path("deploy/features.sexp").read_text())
+    tuning = load_tuning(str(path))
+    assert (tuning.recovery, tuning.archive_away, tuning.installation) == (True, "go-on", "main")
+    assert not load_tuning(None).recovery
+
+
+def test_an_unknown_job_is_denied_once_an_operator_has_settled() -> None:
+    """After a rebuilding with a controller missing, unknown jobs get 503, and 404 from the settling on."""
+    text = "archive off\n" + DAY.replace("end 30", "at 20 wipe\nat 50 raw GET /submissions/job-9 503\nend 60")
+    play = RecoveryPlay(Scenario.parse(text, {}))
+    settled: list[int] = []
+    act = play._act
+
+    async def after(words: list[str]) -> None:
+        await act(words)
+        if words[0] == "raw":
+            await curio.sleep(1.0)
+            client = Store(SimNetwork(play.wire, "operator").client(STATE, 2), play.platform(0).deployment.state, 1)
+            await operators.settle_unknown_jobs(client)
+            await curio.sleep(2.0)
+            settled.append((await play._ask("GET", "/submissions/job-9", b""))[0])
+
+    play._act = after  # type: ignore[method-assign]
+    play.run()
+    assert play.problems == []
+    assert settled == [404]
+
+
+def test_an_archive_of_another_installation_is_not_written_to(tmp_path: Path) -> None:
+    async def story(client: Store, service: FakeStore) -> None:
+        await declare_first_history(client, False, False, "here")
+        with pytest.raises(OtherInstallationError, match="'here'"):
+            await Follower(client, tmp_path, None, "elsewhere").run()
+        task = await curio.spawn(Follower(client, tmp_path, None, "here").run, daemon=True)
+        await curio.sleep(3)
+        await task.cancel()
+
+    with_store(story)
+    assert history_of(read_point(histories(tmp_path)[0])).installation == "here"
+
+
+def test_controllers_do_not_serve_records_of_another_installation() -> None:
+    play = RecoveryPlay(Scenario.parse(DAY, {}))
+    play.tuning.installation = "elsewhere"
+    play.run()
+    assert set(play.answers) == {503}
+    assert play.world.rules.started == 0
+
+
+def test_off_no_key_or_condition_of_recovery_is_ever_used() -> None:
+    play = Play(Scenario.parse(DAY, {}))
+    play.run()
+    assert play.problems == []
+    used = [key for _, event in play.store.events for key in (event.get("write"), event.get("drop")) if key]
+    used += [guard["key"] for body in play.store._carried for guard in body["guards"]]
+    assert len(used) > 20
+    assert not [key for key in used if key.startswith(("history/", "packed/", "doubt/", "h1", "h2"))]
+
+
+def test_on_the_marker_is_a_condition_of_every_transaction() -> None:
+    play = RecoveryPlay(Scenario.parse(DAY, {}))
+    play.run()
+    assert play.problems == []
+    own = [body for body in play.store._carried if not any(c.get("write") in (CURRENT, ARCHIVED) for c in body["then"])]
+    assert len(own) > 10
+    assert all(any(guard["key"].startswith("history/open/") for guard in body["guards"]) for body in own)
+
+
+def test_ends_wait_for_the_archive_and_not_longer_than_the_patience() -> None:
+    clock = Clock()
+    guard = HistoryGuard()
+    guard.open(HistoryRecord("aa", 1), 3, 50, 10.0)
+    guard.note_recorded(["live/job/job-1"], 60)
+
+    async def story() -> None:
+        patient, holding = ArchiveProgress(guard, 5.0, False), ArchiveProgress(guard, 5.0, True)
+        revision = patient.recorded()
+        assert revision == 60
+        assert not patient.covers(revision)
+        await curio.sleep(6.0)
+        assert patient.covers(revision)
+        assert not holding.covers(revision)
+        guard.archived = 60
+        assert holding.covers(revision)
+        guard.note_recorded(["live/member/n0"], 70)  # which is not archived
+        assert patient.recorded() == 60
+
+    clock.run(story)
