--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -1,7 +1,7 @@
 """Which tasks of which job go to which part. Pure: the leader turns the plan into one transaction.
 
 Admission is the quota: a task is charged to its team from here until its end is recorded, and `spread`, `together`
-and the allowed zones are counted the same way. No holder needs a view of the whole to keep these rules.
+and the allowed zones are counted the same way. No owner needs a view of the whole to keep these rules.
 """
 
 from __future__ import annotations
@@ -57,7 +57,7 @@
 
     The coarse tier of the paper (IV-A): it spreads jobs over the parts, and each part places on its own. Where nothing
     is free, a part is given tasks ahead of time, as many as it frees in `ahead_s` and as fit on machines that boot: the
-    holder then starts them the moment room appears, many with one change of records, instead of one admission for
+    owner then starts them the moment room appears, many with one change of records, instead of one admission for
     every task that ends, when changes are scarcest.
     """
 
@@ -249,7 +249,7 @@
                 zones[zone] = zones.get(zone, 0) + number
                 count -= number
         if count and not zones and home is None:
-            # For work of higher priority its holder stops work of lower priority.
+            # For work of higher priority its owner stops work of lower priority.
             for _ in range(min(count, MOST_PREEMPTED)):
                 found = self._stopping_room(job, list(self.view.zone_rooms))
                 if found is None:
@@ -305,7 +305,7 @@
                 count -= number
                 self._queue[zone] += number * job.need.cpus
         if room and not out and starving:
-            # Nothing frees enough room for so large a task by itself: its holder gathers it.
+            # Nothing frees enough room for so large a task by itself: its owner gathers it.
             out[max(room, key=lambda z: room[z])] = 1
         return out
 
@@ -320,7 +320,7 @@
         return self._warm_cpus[image]
 
     def _by_guarantee(self, job: JobView, count: int) -> dict[int, int]:
-        """A job inside its team's guarantee gets what other teams run beyond theirs: its holder stops that work."""
+        """A job inside its team's guarantee gets what other teams run beyond theirs: its owner stops that work."""
         out: dict[int, int] = {}
         if job.ref not in self.view.guaranteed():
             return out
@@ -340,33 +340,33 @@
 
     def _one_by_one(self, job: JobView, home: int | None, count: int) -> dict[int, int]:
         """Replicas spread over parts; each goes where the fewest are, to a machine that has the image if there is one."""
-        held = dict(job.in_zone)
+        in_zone = dict(job.in_zone)
         zones: dict[int, int] = {}
         for _ in range(count):
-            room = self._replica_room(job, home, held)
+            room = self._replica_room(job, home, in_zone)
             if room is None:
                 break
             self._draft.take(room, job.need)
-            held[room.zone] = held.get(room.zone, 0) + 1
+            in_zone[room.zone] = in_zone.get(room.zone, 0) + 1
             zones[room.zone] = zones.get(room.zone, 0) + 1
         return zones
 
-    def _replica_room(self, job: JobView, home: int | None, held: dict[int, int]) -> Room | None:
+    def _replica_room(self, job: JobView, home: int | None, in_zone: dict[int, int]) -> Room | None:
         need, limit = job.need, job.spread_limit
         open_to = [
             z for z in self.view.zone_rooms
-            if (home is None or z == home) and (limit is None or held.get(z, 0) < limit)
+            if (home is None or z == home) and (limit is None or in_zone.get(z, 0) < limit)
         ]  # fmt: skip
         room: Room | None = None
         level: list[int] = []
-        for level in _levels(open_to, held):
+        for level in _levels(open_to, in_zone):
             open_level = [z for z in level if not self._hopeless(need, z)]
             room = best_fit(need, (r for z in open_level for r in self._roomy[z]))
             if room is not None:
                 break
             self._failed.extend((need, z) for z in open_level)
         if room is None:
-            return self._stopping_room(job, open_to) or self._coming_room(job, open_to, held)
+            return self._stopping_room(job, open_to) or self._coming_room(job, open_to, in_zone)
         if need.image not in room.images:
             # Work of lower priority can leave faster than an image can be fetched.
             return (
@@ -381,9 +381,9 @@
             self._nobody_to_stop.extend((job.need, z) for z in zones)
         return room
 
-    def _coming_room(self, job: JobView, open_to: list[int], held: dict[int, int]) -> Room | None:
+    def _coming_room(self, job: JobView, open_to: list[int], in_zone: dict[int, int]) -> Room | None:
         """A machine that boots, in the zone with the fewest replicas."""
-        for zones in _levels(open_to, held):
+        for zones in _levels(open_to, in_zone):
             for zone in zones:
                 if self._hopeless(job.need, zone, self._nothing_coming):
                     continue
@@ -404,14 +404,14 @@
         count = job.to_admit
         if self._gang_hopeless(job.need, count):
             return {}
-        held = [zone for zone, number in job.in_zone.items() if number > 0]
-        fits = {zone: rooms for zone in held or self._roomy if all_fit(job.need, rooms := self._roomy[zone], count)}
+        zones = [zone for zone, number in job.in_zone.items() if number > 0]
+        fits = {zone: rooms for zone in zones or self._roomy if all_fit(job.need, rooms := self._roomy[zone], count)}
         if fits:
             zone = max(fits, key=lambda z: (self._warm_fits(job, fits[z]), sum(r.free_cpus for r in fits[z]), -z))
             fill(job.need, self._roomy[zone], count, self._draft)
             return {zone: count}
-        if held:
-            return {held[0]: count}  # the others wait there already
+        if zones:
+            return {zones[0]: count}  # the others wait there already
         zone_ahead = self._gang_ahead(job, count)
         if zone_ahead is None:
             self._gang_failed.append((job.need, count))
@@ -444,7 +444,7 @@
 
     @staticmethod
     def _by_preemption(job: JobView, candidates: list[Room]) -> Room | None:
-        """The machine where the least work of lower priority would have to leave; its holder stops that work."""
+        """The machine where the least work of lower priority would have to leave; its owner stops that work."""
         if job.need.priority >= PRIORITIES - 1:
             return None
         able = [room for room in candidates if room.fits_by_preemption(job.need)]
@@ -452,9 +452,9 @@
 
     def _home(self, job: JobView) -> int | None:
         """The part for a job of one zone: where its tasks are, or else the roomiest one."""
-        held = [zone for zone, count in job.in_zone.items() if count > 0]
-        if held:
-            return held[0]
+        zones = [zone for zone, count in job.in_zone.items() if count > 0]
+        if zones:
+            return zones[0]
         room_for: dict[int, int] = defaultdict(int)
         for zone, rooms in self._roomy.items():
             for room in rooms:
@@ -465,16 +465,16 @@
         return max(room_for, key=lambda zone: room_for[zone], default=None)
 
 
-def _levels(zones: list[int], held: dict[int, int]) -> Iterable[list[int]]:
+def _levels(zones: list[int], in_zone: dict[int, int]) -> Iterable[list[int]]:
     """Zones in the order in which they should get a replica.
 
     Two zones first, evenly: half of a service's replicas may be in one. Every further zone would cost two more changes
     of records for each service, and changes are what a fleet of this size is shortest of.
     """
-    used = [z for z in zones if held.get(z, 0) > 0]
+    used = [z for z in zones if in_zone.get(z, 0) > 0]
     if len(used) >= SPREAD_OVER:
-        for number in sorted({held[z] for z in used}):
-            yield [z for z in used if held[z] == number]
+        for number in sorted({in_zone[z] for z in used}):
+            yield [z for z in used if in_zone[z] == number]
     elif used:
         yield [z for z in zones if z not in used]
         yield used
--- a/spurarch/coordination/command_sender.py
+++ b/spurarch/coordination/command_sender.py
@@ -42,22 +42,22 @@
         self._slots = curio.Semaphore(self._most)
         self._in_line: set[str] = set()  # machines whose commands wait for a connection
 
-    async def send(self, held: OwnedPartition) -> None:
+    async def send(self, owned: OwnedPartition) -> None:
         """Sends what the partition's machines have to be told; their next reports repeat what got lost."""
-        part, now = held.part, time.monotonic()
-        if not part.attention or not self._permissions.commands(now):
+        partition, now = owned.partition, time.monotonic()
+        if not partition.attention or not self._permissions.commands(now):
             return
-        for name in list(part.attention):
-            machine = part.machines.get(name)
-            if machine is None or not part.needs_command(machine):
-                del part.attention[name]
+        for name in list(partition.attention):
+            machine = partition.machines.get(name)
+            if machine is None or not partition.needs_command(machine):
+                del partition.attention[name]
                 continue
             quiet = now - (machine.heard_at or now) > self._silent_s
-            if machine.direct_after > now or name in self._in_line or (quiet and name not in part.revoking):
+            if machine.direct_after > now or name in self._in_line or (quiet and name not in partition.revoking):
                 continue  # one that is silent would only keep a connection from others
             machine.direct_after = now + (QUIET_PAUSE_S if quiet else AGAIN_S)
             self._in_line.add(name)
-            await curio.spawn(self._direct, held, machine, daemon=True)
+            await curio.spawn(self._direct, owned, machine, daemon=True)
 
     def _client(self, address: str) -> Requests:
         client = self._clients.pop(address, None) or self._network.client(address, 1)
@@ -66,23 +66,23 @@
             self._clients.pop(next(iter(self._clients)))
         return client
 
-    async def _direct(self, held: OwnedPartition, machine: Machine) -> None:
+    async def _direct(self, owned: OwnedPartition, machine: Machine) -> None:
         """Commands are worked out when there is a connection for them: in a mass start that may take a while."""
         async with self._slots:
             self._in_line.discard(machine.name)
             now = time.monotonic()
-            if self._permissions.owns(held.part) and self._permissions.commands(now):
-                sent = held.part.direct(machine)
+            if self._permissions.owns(owned.partition) and self._permissions.commands(now):
+                sent = owned.partition.direct(machine)
                 if sent is not None:
-                    await self._command(held, machine, sent)
+                    await self._command(owned, machine, sent)
 
-    async def _command(self, held: OwnedPartition, machine: Machine, sent: wire.DirectCommands) -> None:
-        part, client = held.part, self._client(machine.addr)
+    async def _command(self, owned: OwnedPartition, machine: Machine, sent: wire.DirectCommands) -> None:
+        partition, client = owned.partition, self._client(machine.addr)
         try:
             status, answer = await client.request("POST", wire.PATH_COMMANDS, wire.encode(sent), DIRECT_S)
         except NoAnswerError as err:
             log.debug("no answer from %s: %s", machine.name, err)
-            part.direct_lost(machine, sent, err.sent)
+            partition.direct_lost(machine, sent, err.sent)
             return
         report = None
         if status in (200, 409):
@@ -90,6 +90,6 @@
                 report = wire.report_decoder.decode(answer)
             except msgspec.DecodeError as err:
                 log.warning("unreadable answer from %s: %s", machine.name, err)
-        part.direct_answered(machine, sent, report, time.monotonic())
-        if part.over:
-            await held.bell.set()
+        partition.direct_answered(machine, sent, report, time.monotonic())
+        if partition.over:
+            await owned.wakeup.set()
--- a/spurarch/coordination/controller.py
+++ b/spurarch/coordination/controller.py
@@ -109,7 +109,7 @@
         self.stall_detector = StallDetector()
         self._lag = LoopLag()
         self.view = FleetView(self.replica.state, deployment.teams, tuning.size_weight, deployment.objectives)
-        self.holder = PartitionOwner(
+        self.owner = PartitionOwner(
             self.replica, self.membership, self.view, self.cloud, self.reachability, self.stall_detector, self._lag,
             deployment, tuning, network, extension.coverage if extension is not None else None,
         )  # fmt: skip
@@ -134,7 +134,7 @@
             self.membership.run_lease,
             self._start,
             self.replica.run_sync,
-            self.holder.run,
+            self.owner.run,
             self._keep_word,
             self._beat,
             self._wake_peers,
@@ -233,7 +233,7 @@
             self._recovery.observe(report)
             if self._recovery.closed:
                 return Response(*await self._recovery.on_report(report))
-        status, body = await self.holder.on_report(report, time.monotonic())
+        status, body = await self.owner.on_report(report, time.monotonic())
         return Response(status, body)
 
     def _health(self) -> Response:
@@ -255,7 +255,7 @@
         if isinstance(hint, peer_messages.Load):
             self._note_refusals(hint)
             self._loads[hint.node] = hint, time.monotonic()
-            self.holder.returns.hear(hint.node, dict(hint.strangers), hint.returned)
+            self.owner.returns.hear(hint.node, dict(hint.strangers), hint.returned)
             return peer_messages.encode(peer_messages.Wake())
         if isinstance(hint, peer_messages.Wake):
             await curio.spawn(self._follow, daemon=True)
@@ -328,15 +328,15 @@
         nodes = [node, *self.peers]
         while True:
             leader = state.leader.node if state.leader is not None else None
-            shares = rate_shares(nodes, [part.node for part in state.parts.values()], leader)
+            shares = rate_shares(nodes, [partition.node for partition in state.parts.values()], leader)
             now = time.monotonic()
             recent = {n: load for n, (load, at) in self._loads.items() if now - at < 3 * SHARE_S}
             total = self.platform.deployment.state.write_rps
             mine = peer_messages.Load(
-                node, *self.store.recent_writes(), self.holder.strangers(now), self.holder.returns.unrecorded(),
+                node, *self.store.recent_writes(), self.owner.strangers(now), self.owner.returns.unrecorded(),
                 self.store.writes_refused,
             )  # fmt: skip
-            self.holder.returns.heard_elsewhere = {n: dict(load.strangers) for n, load in recent.items()}
+            self.owner.returns.heard_elsewhere = {n: dict(load.strangers) for n, load in recent.items()}
             recent[node] = mine
             writes = lend(
                 node, {n: w for n, (_, w) in shares.items()}, {n: load.writes / total for n, load in recent.items()},
@@ -348,8 +348,8 @@
             for client in self.peers.values():
                 await curio.spawn(client.call, frame, 0.5, daemon=True)
             await curio.sleep(SHARE_LEAST_S)
-            await curio.ignore_after(SHARE_S - SHARE_LEAST_S, self.holder.found_stranger.wait)
-            self.holder.found_stranger.clear()
+            await curio.ignore_after(SHARE_S - SHARE_LEAST_S, self.owner.found_stranger.wait)
+            self.owner.found_stranger.clear()
 
     async def _keep_word(self) -> None:
         """Reads the state service at least every second, and asks the peers while it can't be read."""
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -55,7 +55,7 @@
     ) -> None:  # fmt: skip
         self.replica, self.membership, self.view, self.cloud = replica, membership, view, cloud
         self.deployment, self.tuning, self._boot, self._stall_detector = deployment, tuning, boot, stall_detector
-        self._bell = replica.listen()
+        self._wakeup = replica.listen()
         self._wake = wake
         self._next_job: str | None = None
         self.shortages: list[Shortage] = []
@@ -66,7 +66,7 @@
         self._admitting = False  # arrays, in a transaction that is under way
         self._led_since: float | None = None
         self._listed = False
-        self._dirty = replica.state.subscribe()
+        self._changed_keys = replica.state.subscribe()
         self._ending: dict[str, None] = {}
         self._next_full = 0.0
         self._chunk = records.tasks_per_record(deployment.state.value_bytes)
@@ -78,20 +78,20 @@
     async def run(self) -> None:
         """Rounds of the leader: on news, and every now and then."""
         while True:
-            await self._bell.wait()
-            self._bell.clear()
+            await self._wakeup.wait()
+            self._wakeup.clear()
             try:
                 if self.replica.loaded and self.membership.leading and self.view.offers:
                     if self._led_since is None:
                         self._led_since = time.monotonic()
                         await self.replica.sync()
-                        self._dirty.clear()
+                        self._changed_keys.clear()
                         self._ending = dict.fromkeys(self.replica.state.jobs)
                         self._next_job, self._shortages_so_far = None, []
                     await self._round()
                 else:
                     self._led_since, self._listed = None, False
-                    self._dirty.clear()  # a new leader looks at all jobs once
+                    self._changed_keys.clear()  # a new leader looks at all jobs once
             except curio.CancelledError:
                 raise
             except Exception:  # a failure in one round must not end the controller
@@ -209,14 +209,14 @@
         for grant in grants:
             moved_here = {index for indices in grant.moved.values() for index in indices}
             for at in range(0, len(grant.entries), self._chunk):
-                part = grant.entries[at : at + self._chunk]
-                sources = {s for s, indices in grant.moved.items() if any(e.index in indices for e in part)}
+                piece = grant.entries[at : at + self._chunk]
+                sources = {s for s, indices in grant.moved.items() if any(e.index in indices for e in piece)}
                 if len(allocations) + 1 + sum(map(self._pieces, sources | set(moved))) > most:
                     break
                 where = AllocationKey(self.view.zones.name(grant.zone), ref, chunks)
                 chunks += 1
-                allocations.append((where, part))
-                taken = {e.index for e in part}
+                allocations.append((where, piece))
+                taken = {e.index for e in piece}
                 fresh |= taken - moved_here
                 for source in sources:
                     moved.setdefault(source, set()).update(taken & grant.moved[source])
@@ -241,8 +241,8 @@
             left = [e for e in record.tasks if e.index not in indices]
             if left:
                 out += [
-                    Write(str(where), part)
-                    for where, part in records.split(source, AllocationRecord(left), self._chunk)
+                    Write(str(where), piece)
+                    for where, piece in records.split(source, AllocationRecord(left), self._chunk)
                 ]
             else:
                 out.append(Write(str(source), None))
@@ -283,12 +283,12 @@
 
         Only jobs of which something changed are looked at, and several go out in one transaction.
         """
-        for key in self._dirty:
+        for key in self._changed_keys:
             if key.startswith(records.JOB):
                 self._ending[key[len(records.JOB) :]] = None
             elif key.startswith(records.ALLOT):
                 self._ending[AllocationKey.parse(key).job] = None
-        self._dirty.clear()
+        self._changed_keys.clear()
         batch: list[Write] = []
         guards: set[str] = set()
         refs: list[str] = []
@@ -346,7 +346,7 @@
         writes = [Write(records.FINAL + ref, final), Write(records.JOB + ref, None)]
         if ref in state.admitted:
             writes.append(Write(records.ADMISSION + ref, None))
-        # What does not fit goes with the holders' clean-up of jobs that are over; all of it while changes are scarce.
+        # What does not fit goes with the owners' clean-up of jobs that are over; all of it while changes are scarce.
         rest = [str(key) for key in state.allocations.get(ref, {})]
         if self.replica.store.ready(Urgency.ENDS):
             writes += [Write(key, None) for key in rest[: most - len(writes)]]
--- a/spurarch/coordination/local_search.py
+++ b/spurarch/coordination/local_search.py
@@ -24,15 +24,15 @@
     search: SearchResult | None = None
 
 
-def movable(part: Partition, view: FleetView, tuning: Tuning) -> set[tuple[str, int]]:
+def movable(partition: Partition, view: FleetView, tuning: Tuning) -> set[tuple[str, int]]:
     """Running service replicas that may stop without their service falling below its minimum.
 
     A replica without work to go back to stays while its job is cancelled; one replica of a service moves at a time.
     """
-    stopping = {run.where.job for run in part.runs.values() if run.stop or run.phase is not Phase.RUNNING}
+    stopping = {run.where.job for run in partition.runs.values() if run.stop or run.phase is not Phase.RUNNING}
     moved: set[str] = set()
     out = set()
-    for key, run in part.runs.items():
+    for key, run in partition.runs.items():
         job_view = view.jobs.get(run.where.job)
         if job_view is None or not job_view.service or run.where.job in stopping or run.where.job in moved:
             continue
@@ -43,14 +43,14 @@
 
 
 def refine(
-    part: Partition, view: FleetView, tuning: Tuning, now: float, random: Random, late: Callable[[], bool]
+    partition: Partition, view: FleetView, tuning: Tuning, now: float, random: Random, late: Callable[[], bool]
 ) -> Refinement:
     """One round of a part."""
     out = Refinement()
-    names, rooms, tasks, runs = _tables(part, view, tuning)
-    if tuning.consolidation_cap > 0 and not part.free:
-        out.empty = _to_empty(part, names, rooms, tasks, tuning, now)
-    emptying = frozenset(i for i, name in enumerate(names) if part.machines[name].emptying or name == out.empty)
+    names, rooms, tasks, runs = _tables(partition, view, tuning)
+    if tuning.consolidation_cap > 0 and not partition.free:
+        out.empty = _to_empty(partition, names, rooms, tasks, tuning, now)
+    emptying = frozenset(i for i, name in enumerate(names) if partition.machines[name].emptying or name == out.empty)
     if out.empty is not None:
         out.moves += _move_off(names, rooms, tasks, runs, names.index(out.empty), emptying, tuning)
     if any(t.movable for t in tasks) and len(out.moves) < tuning.moves_per_round:
@@ -65,14 +65,14 @@
 
 
 def _tables(
-    part: Partition, view: FleetView, tuning: Tuning
+    partition: Partition, view: FleetView, tuning: Tuning
 ) -> tuple[list[str], list[Room], list[Replica], list[TaskAttempt]]:
     """Dense tables of the part's machines and of the tasks on them."""
     names: list[str] = []
     rooms: list[Room] = []
-    for room in view.zone_rooms[view.zones.index(part.zone)].values():
+    for room in view.zone_rooms[view.zones.index(partition.zone)].values():
         name = view.machines.name(room.machine)
-        machine = part.machines.get(name)
+        machine = partition.machines.get(name)
         if machine is not None and machine.standing is Standing.KNOWN and not machine.returning:
             names.append(name)
             copy = room.copy()
@@ -80,33 +80,33 @@
             copy.images = machine.images
             rooms.append(copy)
     index = {name: i for i, name in enumerate(names)}
-    free_to_move = movable(part, view, tuning)
+    free_to_move = movable(partition, view, tuning)
     tasks: list[Replica] = []
     runs: list[TaskAttempt] = []
-    for key, run in part.runs.items():
+    for key, run in partition.runs.items():
         job = view.jobs.get(run.where.job)
         if job is not None and run.machine in index and run.phase < Phase.EXITED:
             at = index[run.machine]
             tasks.append(Replica(len(runs), job.need, at, at, key in free_to_move, job.service or job.gang))
             runs.append(run)
     for i, name in enumerate(names):
-        if not part.machines[name].open:
+        if not partition.machines[name].open:
             rooms[i].free_cpus = -1.0  # takes nothing
     return names, rooms, tasks, runs
 
 
 def _to_empty(
-    part: Partition, names: list[str], rooms: list[Room], tasks: list[Replica], tuning: Tuning, now: float
+    partition: Partition, names: list[str], rooms: list[Room], tasks: list[Replica], tuning: Tuning, now: float
 ) -> str | None:
     """The least booked machine, if all that must leave it may, and the rest stays under the cap of booked CPU."""
-    open_rooms = [i for i, name in enumerate(names) if part.machines[name].usable(now)]
+    open_rooms = [i for i, name in enumerate(names) if partition.machines[name].usable(now)]
     booked = sum(rooms[i].cpus - rooms[i].free_cpus for i in open_rooms)
     total = sum(rooms[i].cpus for i in open_rooms)
-    held: dict[int, list[Replica]] = {}
+    owned: dict[int, list[Replica]] = {}
     for task in tasks:
-        held.setdefault(task.at, []).append(task)
+        owned.setdefault(task.at, []).append(task)
     for i in sorted(open_rooms, key=lambda i: rooms[i].cpus - rooms[i].free_cpus):
-        mine = held.get(i, [])
+        mine = owned.get(i, [])
         if not mine or booked > tuning.consolidation_cap * (total - rooms[i].cpus):
             continue
         if all(t.movable or not t.service for t in mine):
--- a/spurarch/coordination/machine.py
+++ b/spurarch/coordination/machine.py
@@ -1,4 +1,4 @@
-"""The life of a task on a machine, and of a machine, as the holder of a part sees them. No I/O.
+"""The life of a task on a machine, and of a machine, as the owner of a part sees them. No I/O.
 
     ASSIGNED -> STARTING -> FETCHING -> (GATHERING ->) RUNNING -> (STOPPING ->) EXITED -> forgotten
         any of them -> GONE once it is proved that the machine no longer has the task
@@ -136,7 +136,6 @@
     emptying: bool = False  # consolidation lets its tasks end or move, and sends it no new ones
     return_after: float = 0.0
     direct_after: float = 0.0
-    reported: int = 0  # tasks in the newest report
     tasks_seen: list[wire.TaskReport] | None = None  # what the newest report showed, unless tasks were assigned since
 
     def advance(self, standing: Standing) -> bool:
--- a/spurarch/coordination/membership.py
+++ b/spurarch/coordination/membership.py
@@ -1,7 +1,7 @@
 """Which controllers live, which one leads, and which holds which part.
 
 Leases of the state service decide *when* to take over; whether it is safe rests on epochs alone: every change of a
-part's holder raises its epoch, and every transaction of a holder guards the version of its part's record.
+partition's owner raises its epoch, and every transaction of an owner guards the version of its part's record.
 """
 
 from __future__ import annotations
@@ -41,7 +41,7 @@
 
     A part is a whole zone. It goes to a controller in its own zone if there is one, so that a zone cut off from the
     others keeps working; else to the living controller with the fewest parts. `settled` are members that have lived
-    long enough to take a part from a holder that is alive. A member that seems not to hear a zone's workers is passed
+    long enough to take a part from an owner that is alive. A member that seems not to hear a zone's workers is passed
     over for that zone, and gives it up, as long as there is another. While `gangs` are on record, members of a version
     that does not start them as a whole own nothing.
     """
@@ -49,38 +49,38 @@
         members = {node: member for node, member in members.items() if starts_gangs(member)}
     load = dict.fromkeys(members, 0)
     for zone in zones:
-        part = parts.get(zone)
-        if part is not None and part.node in load:
-            load[part.node] += 1
+        partition = parts.get(zone)
+        if partition is not None and partition.node in load:
+            load[partition.node] += 1
     out: dict[str, str] = {}
     for zone in zones:
-        part = parts.get(zone)
+        partition = parts.get(zone)
         able = [m for m in members.values() if zone not in m.unfit]
-        if not able and part is not None and part.node in members:
+        if not able and partition is not None and partition.node in members:
             continue
         able = able or list(members.values())
         home = [m.node for m in able if m.area == zone]
         choice = min(home or [m.node for m in able], key=lambda node: (load[node], node), default=None)
-        if choice is None or (part is not None and choice == part.node):
+        if choice is None or (partition is not None and choice == partition.node):
             continue
-        if part is not None and part.node in load and zone not in members[part.node].unfit:
-            uneven = load[part.node] > load[choice] + 1
-            if part.node in home or choice not in settled or not (home or uneven):
+        if partition is not None and partition.node in load and zone not in members[partition.node].unfit:
+            uneven = load[partition.node] > load[choice] + 1
+            if partition.node in home or choice not in settled or not (home or uneven):
                 continue
-            load[part.node] -= 1
+            load[partition.node] -= 1
         load[choice] += 1
         out[zone] = choice
     return out
 
 
-def rate_shares(nodes: list[str], holders: list[str], leader: str | None) -> dict[str, tuple[float, float]]:
+def rate_shares(nodes: list[str], owners: list[str], leader: str | None) -> dict[str, tuple[float, float]]:
     """The controllers' shares of the state service's rates of requests and of changes, by what each has to do.
 
-    Everybody serves users; holders record starts and ends, and the leader admits. The shares of all add up to one as
+    Everybody serves users; owners record starts and ends, and the leader admits. The shares of all add up to one as
     long as they agree on who does what.
     """
     weights = {
-        n: (2.0 + holders.count(n) + (n == leader), 2.0 + 4.0 * holders.count(n) + 6.0 * (n == leader)) for n in nodes
+        n: (2.0 + owners.count(n) + (n == leader), 2.0 + 4.0 * owners.count(n) + 6.0 * (n == leader)) for n in nodes
     }
     requests, writes = (sum(w[i] for w in weights.values()) for i in (0, 1))
     return {n: (w[0] / requests, w[1] / writes) for n, w in weights.items()}
@@ -95,7 +95,7 @@
     ) -> None:  # fmt: skip
         self.replica, self.node, self.boot, self.area = replica, node, boot, area
         self.zones, self.ttl_s, self.version = zones, ttl_s, version
-        self._bell = replica.listen()
+        self._wakeup = replica.listen()
         self._lease: int | None = None
         self._unfit: dict[str, float] = {}
         self._dark: set[str] = set()
@@ -109,8 +109,10 @@
 
     def holds(self, zone: str) -> PartitionRecord | None:
         """The part's record if this process holds it."""
-        part = self.replica.state.parts.get(zone)
-        return part if part is not None and part.node == self.node and part.boot == self.boot else None
+        partition = self.replica.state.parts.get(zone)
+        return (
+            partition if partition is not None and partition.node == self.node and partition.boot == self.boot else None
+        )
 
     def note_unheard(self, zone: str, now: float) -> None:
         """This controller seems cut from the workers of a zone: another one should hold it for a while."""
@@ -152,8 +154,8 @@
                 raise
             except Exception:  # a failure here must not end the controller
                 log.exception("membership round failed")
-            await self._bell.wait()
-            self._bell.clear()
+            await self._wakeup.wait()
+            self._wakeup.clear()
             await curio.sleep(0.05)
 
     async def _join(self) -> None:
@@ -201,9 +203,9 @@
                 self._seen[node] = member.boot, now
         settled = {n for n, (_, at) in self._seen.items() if n in state.members and now - at >= HOME_AFTER_S}
         for zone, node in assign_partitions(self.zones, state.parts, state.members, settled, self._gangs()).items():
-            part = state.parts.get(zone)
-            record = PartitionRecord(node, part.epoch + 1 if part else 1)
-            log.info("part %s goes to %s (epoch %d)", zone, node, record.epoch)
+            partition = state.parts.get(zone)
+            record = PartitionRecord(node, partition.epoch + 1 if partition else 1)
+            log.info("partition %s goes to %s (epoch %d)", zone, node, record.epoch)
             await self.replica.commit(
                 [Write(records.PART + zone, record)], guards=[records.LEADER], give_up_s=2.0, urgency=Urgency.MEMBERSHIP
             )
@@ -213,11 +215,11 @@
 
         A process that starts again claims at once: what its predecessor sent carries lower tokens from then on.
         """
-        for zone, part in list(self.replica.state.parts.items()):
-            if part.node == self.node and part.boot != self.boot:
-                record = PartitionRecord(self.node, part.epoch + 1, self.boot)
+        for zone, partition in list(self.replica.state.parts.items()):
+            if partition.node == self.node and partition.boot != self.boot:
+                record = PartitionRecord(self.node, partition.epoch + 1, self.boot)
                 outcome = await self.replica.commit(
                     [Write(records.PART + zone, record)], give_up_s=2.0, urgency=Urgency.MEMBERSHIP
                 )  # fmt: skip
                 if outcome.verdict is Verdict.DONE:
-                    log.info("holding part %s (epoch %d)", zone, record.epoch)
+                    log.info("holding partition %s (epoch %d)", zone, record.epoch)
--- a/spurarch/coordination/owned_partition.py
+++ b/spurarch/coordination/owned_partition.py
@@ -1,4 +1,4 @@
-"""A part in its holder's hands, and what is kept beside it."""
+"""A part in its owner's hands, and what is kept beside it."""
 
 from __future__ import annotations
 
@@ -15,20 +15,20 @@
 
 
 class OwnedPartition:
-    """A part and what its holder keeps beside it."""
+    """A part and what its owner keeps beside it."""
 
-    def __init__(self, part: Partition, tuning: Tuning, silent_s: float) -> None:
-        self.part = part
+    def __init__(self, partition: Partition, tuning: Tuning, silent_s: float) -> None:
+        self.partition = partition
         self._tuning, self._silent_s = tuning, silent_s
-        self.dirty: dict[str, None] = {}
-        self.bell = curio.Event()
+        self.changed_keys: dict[str, None] = {}
+        self.wakeup = curio.Event()
         self.next_search = 0.0
         self.next_tick = 0.0
         self.next_returns = 0.0
         self.next_look = 0.0
         self.next_overdue = 0.0
         self.cleaned_at = 0.0
-        self.peopled_at = part.taken_at  # when the part last had machines
+        self.peopled_at = partition.taken_at  # when the part last had machines
         self.working = False
         self.provisional = False  # it works by records that were read before its claim, to stop what is cancelled
         self.cut = False
--- a/spurarch/coordination/partition.py
+++ b/spurarch/coordination/partition.py
@@ -1,4 +1,4 @@
-"""One part of the fleet in the hands of its holder: what reports mean, which commands follow, what to record.
+"""One part of the fleet in the hands of its owner: what reports mean, which commands follow, what to record.
 
 No I/O: reports, records and the time come in; answers, commands and changes of records come out.
 """
@@ -63,7 +63,7 @@
 
 
 class Partition:
-    """State of one part. The holder owns it as long as `epoch` is the part's on record.
+    """State of one part. The owner owns it as long as `epoch` is the part's on record.
 
     Nothing here that happens on a report, a change or a round walks the whole part: what has to be recorded, sent or
     cleaned up is collected where it arises.
@@ -262,9 +262,9 @@
             del gang.members[run.index]
             self.gangs.note(gang.job)
         for table in (self._by_allocation, self.over):
-            held = table.get(run.where)
-            if held is not None and held.get(run.index) is run:
-                del held[run.index]
+            runs = table.get(run.where)
+            if runs is not None and runs.get(run.index) is run:
+                del runs[run.index]
         self._drop_empty(run.where)
         machine = self.machines.get(run.machine)
         if machine is not None:
@@ -308,14 +308,14 @@
 
         A report may be a copy of any age, or come in an order that can't be: only one newer than the newest seen, of a
         machine that has shown a token chosen anew for it here, teaches anything. Without `commanding` the answer only
-        keeps the worker's lease: this holder may have been deposed.
+        keeps the worker's lease: this owner may have been deposed.
         """
         self.now = now
         if report.machine in self._returned:
             self._note_strange(report, "it was returned")
             return None
         if report.token > self.base + self._counter:
-            # A later holder has spoken to this worker, or the report makes no sense.
+            # A later owner has spoken to this worker, or the report makes no sense.
             self._note_strange(report, "its token is not ours")
             return None
         machine = self._machine(report)
@@ -371,7 +371,7 @@
 
         A machine becomes known with the first message that shows a token chosen for it since it became known of here.
         Copies of older messages can't: neither one alone nor several in a row bring a returned machine back, or make a
-        new holder believe that a silent one lives.
+        new owner believe that a silent one lives.
         """
         if (report.session, report.seq) <= (machine.session, machine.seq):
             return
@@ -400,7 +400,6 @@
         machine.notice_until = None if report.notice_s is None else now + report.notice_s
         if report.notice_s is not None:
             self._save_gangs(machine, report.notice_s)
-        machine.reported = len(report.tasks)
         if report.tasks != machine.tasks_seen:
             machine.tasks_seen = report.tasks
             for task in report.tasks:
--- a/spurarch/coordination/partition_owner.py
+++ b/spurarch/coordination/partition_owner.py
@@ -45,7 +45,7 @@
 SCARCE_LEVEL = 0.5
 CLEAN_S = 10.0
 SILENT_REPORTS = 2.5
-STRANGERS_S = 5.0  # a worker that looks for its holder comes by more often than that
+STRANGERS_S = 5.0  # a worker that looks for its owner comes by more often than that
 MOVE_S = 15.0
 SEARCH_PUT_OFF_S = 30.0  # at most, while the event loop is late
 
@@ -72,15 +72,15 @@
         self.reachability, self.deployment, self.tuning = reachability, deployment, tuning
         self._record_tasks = records.tasks_per_record(deployment.state.value_bytes)
         self._most_changes = deployment.state.transaction_changes
-        self.held: dict[str, OwnedPartition] = {}
+        self.owned: dict[str, OwnedPartition] = {}
         self.permissions = Permissions(replica, membership, reachability, stall_detector, deployment.workers.cancel_s)
         self.returns = MachineReleaser(
-            replica, membership, view, cloud, self.permissions, stall_detector, deployment, tuning, self.held
+            replica, membership, view, cloud, self.permissions, stall_detector, deployment, tuning, self.owned
         )
         self._strangers: dict[str, dict[str, float]] = {}
-        self.found_stranger = curio.Event()  # a worker that its holder gave up for unheard
-        self._bell = replica.listen()
-        self._dirty = replica.state.subscribe()
+        self.found_stranger = curio.Event()  # a worker that its owner gave up for unheard
+        self._wakeup = replica.listen()
+        self._changed_keys = replica.state.subscribe()
         self._commands = CommandSender(
             network, self.permissions, SILENT_REPORTS * deployment.workers.report_s, deployment.limits.sockets
         )
@@ -90,9 +90,9 @@
     # Reports
 
     async def on_report(self, report: wire.Report, now: float) -> tuple[int, bytes]:
-        """Answers a report: 200 as holder, 421 to steer the worker, 503 if nobody can tell."""
+        """Answers a report: 200 as owner, 421 to steer the worker, 503 if nobody can tell."""
         heard = self.reachability.parts.get(report.zone)
-        part = self.replica.state.parts.get(report.zone)
+        partition = self.replica.state.parts.get(report.zone)
         if self.permissions.superseded(report.zone) and heard is not None and self.reachability.answers(heard[0], now):
             return 421, wire.encode(wire.Steer(heard[0]))  # a peer told us
         if self.membership.holds(report.zone) is None:
@@ -100,24 +100,24 @@
             if report.zone in self.deployment.zones:
                 self._strangers.setdefault(report.zone, {})[report.machine] = now
             if lost:
-                # Its holder believes that nobody hears it. Sent back there, the worker would lose what is left of its
-                # lease; the next controller may know of another holder.
+                # Its owner believes that nobody hears it. Sent back there, the worker would lose what is left of its
+                # lease; the next controller may know of another owner.
                 await self.found_stranger.set()
                 return 421, b"{}"
-            if part is None or part.node == self.membership.node:
-                return 503, wire.encode(wire.ErrorBody("the holder of this zone is not known yet"))
-            return 421, wire.encode(wire.Steer(part.node))
+            if partition is None or partition.node == self.membership.node:
+                return 503, wire.encode(wire.ErrorBody("the owner of this zone is not known yet"))
+            return 421, wire.encode(wire.Steer(partition.node))
         if not self.permissions.answers(now):
             return 503, wire.encode(wire.ErrorBody("cut from the state service for too long"))
-        held = self._hold(report.zone, now)
-        occasions = held.part.occasions
-        commands = held.part.on_report(report, now, self.permissions.steady(now))
+        owned = self._own(report.zone, now)
+        occasions = owned.partition.occasions
+        commands = owned.partition.on_report(report, now, self.permissions.steady(now))
         if commands is None:
             return 503, wire.encode(wire.ErrorBody("not entitled to this worker"))
-        machine = held.part.machines[report.machine]
-        if held.part.occasions != occasions:
-            await held.bell.set()
-        return 200, wire.encode(wire.ReportAnswer(held.part.token(machine), commands))
+        machine = owned.partition.machines[report.machine]
+        if owned.partition.occasions != occasions:
+            await owned.wakeup.set()
+        return 200, wire.encode(wire.ReportAnswer(owned.partition.token(machine), commands))
 
     def strangers(self, now: float) -> list[tuple[str, int]]:
         """By zone, workers that reported here of late though another holds their zone."""
@@ -125,22 +125,22 @@
             self._strangers[zone] = {name: at for name, at in heard.items() if now - at < STRANGERS_S}
         return [(zone, len(heard)) for zone, heard in self._strangers.items() if heard]
 
-    def _hold(self, zone: str, now: float) -> OwnedPartition:
+    def _own(self, zone: str, now: float) -> OwnedPartition:
         """The part in memory, begun anew with every epoch."""
         record = self.replica.state.parts[zone]
-        held = self.held.get(zone)
-        if held is None or held.part.epoch != record.epoch:
-            held = OwnedPartition(
+        owned = self.owned.get(zone)
+        if owned is None or owned.partition.epoch != record.epoch:
+            owned = OwnedPartition(
                 Partition(zone, record.epoch, self.deployment.workers.lease_s, now, self._image_of),
                 self.tuning,
                 SILENT_REPORTS * self.deployment.workers.report_s,
             )
-            held.part.cancelled_ago = self.permissions.cancelled_ago
+            owned.partition.cancelled_ago = self.permissions.cancelled_ago
             if self._coverage is not None:
-                held.part.coverage = self._coverage
-                held.part.may_start = lambda: self.replica.store.trusted
-            self.held[zone] = held
-        return held
+                owned.partition.coverage = self._coverage
+                owned.partition.may_start = lambda: self.replica.store.trusted
+            self.owned[zone] = owned
+        return owned
 
     def _image_of(self, job: str) -> int | None:
         known = self.view.jobs.get(job)
@@ -154,130 +154,130 @@
         Every part works in a task of its own, so that none waits in line behind another's transactions.
         """
         while True:
-            await self._bell.wait()
-            self._bell.clear()
+            await self._wakeup.wait()
+            self._wakeup.clear()
             if self.replica.loaded:
                 await self._look_around(time.monotonic())
                 await self.returns.watch_orphans(time.monotonic())
             await curio.sleep(PAUSE_S)
 
     async def _look_around(self, now: float) -> None:
-        for zone in list(self.held):
+        for zone in list(self.owned):
             if self.membership.holds(zone) is None:
-                log.info("part %s is no longer held here", zone)
-                await self.held.pop(zone).bell.set()
+                log.info("partition %s is no longer owned here", zone)
+                await self.owned.pop(zone).wakeup.set()
         self._spread_news()
         for zone in self.deployment.zones:
             if self.membership.holds(zone) is not None:
-                held = self._hold(zone, now)
-                if not held.working:
-                    held.working = True
-                    await curio.spawn(self._run_part, held, daemon=True)
-                    await curio.spawn(self._run_commands, held, daemon=True)
-                if held.dirty or now >= held.next_tick:
-                    await held.bell.set()
-
-    async def _run_part(self, held: OwnedPartition) -> None:
+                owned = self._own(zone, now)
+                if not owned.working:
+                    owned.working = True
+                    await curio.spawn(self._run_partition, owned, daemon=True)
+                    await curio.spawn(self._run_commands, owned, daemon=True)
+                if owned.changed_keys or now >= owned.next_tick:
+                    await owned.wakeup.set()
+
+    async def _run_partition(self, owned: OwnedPartition) -> None:
         """Rounds of one part, as long as it is held: on news, and every now and then."""
-        zone = held.part.zone
-        while self.held.get(zone) is held and self.permissions.owns(held.part):
-            await held.bell.wait()
-            held.bell.clear()
+        zone = owned.partition.zone
+        while self.owned.get(zone) is owned and self.permissions.owns(owned.partition):
+            await owned.wakeup.wait()
+            owned.wakeup.clear()
             try:
-                await self._prepare(held)
-                if held.part.ready:
-                    await self._work(held)
+                await self._prepare(owned)
+                if owned.partition.ready:
+                    await self._work(owned)
             except curio.CancelledError:
                 raise
             except Exception:  # a failure in one round must not end the controller
-                log.exception("round of part %s failed", zone)
+                log.exception("round of partition %s failed", zone)
                 await curio.sleep(TICK_S)
             await curio.sleep(self._lag.pause_s(PAUSE_S))
 
-    async def _run_commands(self, held: OwnedPartition) -> None:
+    async def _run_commands(self, owned: OwnedPartition) -> None:
         """Stops and starts go out while transactions wait in line.
 
         A cancelled job's tasks have to leave in time, however short changes are (docs/incidents/2026-12-02-commands-
         behind-records.md). Silence is judged here too: in a round it was found late, and a controller cut from its
         workers returned them before it noticed.
         """
-        while self.held.get(held.part.zone) is held and self.permissions.owns(held.part):
+        while self.owned.get(owned.partition.zone) is owned and self.permissions.owns(owned.partition):
             await curio.sleep(TICK_S)
             try:
-                if (held.part.ready or held.provisional) and self.permissions.owns(held.part):
-                    self._obey_cancels(held)
-                    await self._send(held)
-                    await self.returns.watch_overdue(held, time.monotonic())
-                    if held.part.ready:
-                        await self.returns.watch_silence(held, time.monotonic())
+                if (owned.partition.ready or owned.provisional) and self.permissions.owns(owned.partition):
+                    self._obey_cancels(owned)
+                    await self._send(owned)
+                    await self.returns.watch_overdue(owned, time.monotonic())
+                    if owned.partition.ready:
+                        await self.returns.watch_silence(owned, time.monotonic())
             except curio.CancelledError:
                 raise
             except Exception:  # must not end the controller
-                log.exception("commands of part %s failed", held.part.zone)
+                log.exception("commands of partition %s failed", owned.partition.zone)
 
-    def _obey_cancels(self, held: OwnedPartition) -> None:
-        """Cancels that peers passed on while the state service is out of reachability."""
+    def _obey_cancels(self, owned: OwnedPartition) -> None:
+        """Cancels that peers passed on while the state service is out of reach."""
         for ref in self.reachability.cancelled:
-            held.part.stop_job(ref, time.monotonic())
+            owned.partition.stop_job(ref, time.monotonic())
 
     def _spread_news(self) -> None:
         """Notes changed records for every part."""
         self.view.update()
-        if self._dirty:
-            for zone, held in self.held.items():
+        if self._changed_keys:
+            for zone, owned in self.owned.items():
                 mine = (f"{records.ALLOT}{zone}/", f"{records.MACHINE}{zone}/", records.JOB)
-                held.dirty.update((key, None) for key in self._dirty if key.startswith(mine))
-            self._dirty.clear()
+                owned.changed_keys.update((key, None) for key in self._changed_keys if key.startswith(mine))
+            self._changed_keys.clear()
 
-    def _take_news(self, held: OwnedPartition, now: float) -> None:
-        if held.dirty:
-            held.part.take_records(self.replica.state, held.dirty, now)
-            held.dirty.clear()
+    def _take_news(self, owned: OwnedPartition, now: float) -> None:
+        if owned.changed_keys:
+            owned.partition.take_records(self.replica.state, owned.changed_keys, now)
+            owned.changed_keys.clear()
 
-    async def _prepare(self, held: OwnedPartition) -> None:
+    async def _prepare(self, owned: OwnedPartition) -> None:
         """Takes records in; a part is ready once a copy read after its claim is complete."""
-        part, state = held.part, self.replica.state
-        if not part.ready:
+        partition, state = owned.partition, self.replica.state
+        if not partition.ready:
             if not await self.replica.sync():
-                if self.replica.loaded and not held.provisional:
+                if self.replica.loaded and not owned.provisional:
                     # What was read before the claim serves to stop cancelled tasks, and for nothing else.
-                    part.take_records(state, list(state.entries), time.monotonic())
-                    held.provisional = True
+                    partition.take_records(state, list(state.entries), time.monotonic())
+                    owned.provisional = True
                 return
             self._spread_news()
-            part.take_records(state, list(dict.fromkeys([*state.entries, *held.dirty])), time.monotonic())
-            held.dirty.clear()
-            part.ready = True
+            partition.take_records(state, list(dict.fromkeys([*state.entries, *owned.changed_keys])), time.monotonic())
+            owned.changed_keys.clear()
+            partition.ready = True
         else:
             self._spread_news()
-            self._take_news(held, time.monotonic())
-        self._obey_cancels(held)
+            self._take_news(owned, time.monotonic())
+        self._obey_cancels(owned)
 
-    async def _work(self, held: OwnedPartition) -> None:
-        part, state, now = held.part, self.replica.state, time.monotonic()
+    async def _work(self, owned: OwnedPartition) -> None:
+        partition, state, now = owned.partition, self.replica.state, time.monotonic()
         writes: list[Write] = []
-        if now >= held.next_tick and self.permissions.steady(now):
-            held.next_tick = now + PART_TICK_S
-            part.tick(now)
-            writes = self._machine_writes(part, now)
-        part.now = now
-        changes = part.ends(state, self._gather_s())
-        if part.free:
+        if now >= owned.next_tick and self.permissions.steady(now):
+            owned.next_tick = now + PART_TICK_S
+            partition.tick(now)
+            writes = self._machine_writes(partition, now)
+        partition.now = now
+        changes = partition.ends(state, self._gather_s())
+        if partition.free:
             budget = self._round_budget()
-            held.placer.scarce = self.replica.store.write_level() < SCARCE_LEVEL
-            placed = held.placer.run(part, self.view, now, budget.spent, MOST_PLACED, time.time())
+            owned.placer.scarce = self.replica.store.write_level() < SCARCE_LEVEL
+            placed = owned.placer.run(partition, self.view, now, budget.spent, MOST_PLACED, time.time())
             if self.permissions.fresh(now):
                 for run in placed.preempt:
                     log.info("preempting %s/%d on %s", *run.key, run.machine)
-                    part.stop(run, self._grace(run))
+                    partition.stop(run, self._grace(run))
             for where, entries in placed.entries.items():
                 changes.setdefault(where, {}).update(entries)
             if placed.unfinished:
-                await held.bell.set()
-        await self._commit(held, changes, writes)
-        self._refine(held, now)
-        await self._send(held)
-        await self.returns.return_idle(held, now)
+                await owned.wakeup.set()
+        await self._commit(owned, changes, writes)
+        self._refine(owned, now)
+        await self._send(owned)
+        await self.returns.return_idle(owned, now)
 
     def _round_budget(self) -> RoundBudget:
         return RoundBudget(self.tuning.budget_ms / 1000, self.deployment.limits.cpu)
@@ -289,30 +289,30 @@
             return GATHER_SCARCE_S
         return GATHER_S * min(1.0, max(0.0, GATHER_BELOW - level) / GATHER_BELOW)
 
-    def _refine(self, held: OwnedPartition, now: float) -> None:
+    def _refine(self, owned: OwnedPartition, now: float) -> None:
         """The round of Tabu search and consolidation, and reopening what was being emptied when tasks wait."""
-        part = held.part
-        if part.free:
-            for machine in part.machines.values():
+        partition = owned.partition
+        if partition.free:
+            for machine in partition.machines.values():
                 machine.emptying = False
-        if now < held.next_search or (self._lag.late and now < held.next_search + SEARCH_PUT_OFF_S):
+        if now < owned.next_search or (self._lag.late and now < owned.next_search + SEARCH_PUT_OFF_S):
             return
-        first = held.next_search == 0.0
-        held.next_search = now + self.tuning.round_s
+        first = owned.next_search == 0.0
+        owned.next_search = now + self.tuning.round_s
         if first or not self.permissions.fresh(now):
             return
         from spurarch.coordination.local_search import refine  # not needed to answer workers after a restart
 
-        result = refine(part, self.view, self.tuning, now, self._random, self._round_budget().spent)
+        result = refine(partition, self.view, self.tuning, now, self._random, self._round_budget().spent)
         if result.empty is not None:
             log.info("emptying %s", result.empty)
-            part.machines[result.empty].emptying = True
+            partition.machines[result.empty].emptying = True
         for run, target in result.moves:
             log.info("moving %s/%d from %s to %s", *run.key, run.machine, target)
-            held.placer.targets[run.key] = target, now + MOVE_S
-            part.stop(run, self._grace(run))
+            owned.placer.targets[run.key] = target, now + MOVE_S
+            partition.stop(run, self._grace(run))
         if result.search is not None and result.search.moves:
-            log.info("search of %s: cost %.4f to %.4f", part.zone, result.search.before, result.search.after)
+            log.info("search of %s: cost %.4f to %.4f", partition.zone, result.search.before, result.search.after)
 
     def _grace(self, run: TaskAttempt) -> float:
         job = self.replica.state.jobs.get(run.where.job)
@@ -320,12 +320,12 @@
 
     # Records
 
-    def _machine_writes(self, part: Partition, now: float) -> list[Write]:
+    def _machine_writes(self, partition: Partition, now: float) -> list[Write]:
         """Machines that are new, closed or opened again, or gone."""
         out = []
-        on_record = self.replica.state.machines[part.zone]
-        for machine in list(part.machines.values()):
-            key = records.machine_key(part.zone, machine.name)
+        on_record = self.replica.state.machines[partition.zone]
+        for machine in list(partition.machines.values()):
+            key = records.machine_key(partition.zone, machine.name)
             record = on_record.get(machine.name)
             if machine.standing is Standing.GONE:
                 if machine.runs:
@@ -333,11 +333,11 @@
                 if record is not None:
                     out.append(Write(key, None))
                 else:
-                    del part.machines[machine.name]
+                    del partition.machines[machine.name]
                 continue
             if machine.standing is Standing.UNKNOWN or not machine.type:
                 continue
-            if part.dark and machine.standing is Standing.LOST:
+            if partition.dark and machine.standing is Standing.LOST:
                 continue  # the whole zone is closed by one change
             wanted = MachineRecord(machine.type, machine.spot, machine.addr, machine.willing(now))
             if record != wanted:
@@ -345,7 +345,7 @@
         return out
 
     async def _commit(
-        self, held: OwnedPartition, changes: dict[AllocationKey, dict[int, TaskEntry]], extra: list[Write]
+        self, owned: OwnedPartition, changes: dict[AllocationKey, dict[int, TaskEntry]], extra: list[Write]
     ) -> None:
         """Writes what changed, in transactions within the limits that guard the part and the jobs.
 
@@ -353,42 +353,42 @@
         that has to start meanwhile would wait with it (tests/test_bursts.py). Ends of arrays go with their starts;
         clean-up waits until nothing else does, or for `CLEAN_S`, since quotas wait for it.
         """
-        groups = self._by_urgency(held.part, changes, extra, held.placer.pending)
-        await self._commit_some(held, groups[Urgency.REPLICAS], Urgency.REPLICAS)
-        if not held.placer.pending:
+        groups = self._by_urgency(owned.partition, changes, extra, owned.placer.pending)
+        await self._commit_some(owned, groups[Urgency.REPLICAS], Urgency.REPLICAS)
+        if not owned.placer.pending:
             bulk, now = groups[Urgency.STARTS], time.monotonic()
-            if self.replica.store.ready(Urgency.ENDS) or now - held.cleaned_at > CLEAN_S:
-                held.cleaned_at = now
+            if self.replica.store.ready(Urgency.ENDS) or now - owned.cleaned_at > CLEAN_S:
+                owned.cleaned_at = now
                 bulk = groups[Urgency.ENDS][: self._most_changes] + bulk
-            held.placer.pending = {c.where: c.entries or {} for c in bulk if c.where is not None}
-            if held.placer.pending:
-                await curio.spawn(self._commit_bulk, held, bulk, daemon=True)
+            owned.placer.pending = {c.where: c.entries or {} for c in bulk if c.where is not None}
+            if owned.placer.pending:
+                await curio.spawn(self._commit_bulk, owned, bulk, daemon=True)
 
-    async def _commit_bulk(self, held: OwnedPartition, bulk: list[_Change]) -> None:
+    async def _commit_bulk(self, owned: OwnedPartition, bulk: list[_Change]) -> None:
         try:
-            await self._commit_some(held, bulk, Urgency.STARTS)
+            await self._commit_some(owned, bulk, Urgency.STARTS)
         except curio.CancelledError:
             raise
         except Exception:  # must not end the controller
-            log.exception("transactions of part %s failed", held.part.zone)
+            log.exception("transactions of partition %s failed", owned.partition.zone)
         finally:
-            held.placer.pending = {}
+            owned.placer.pending = {}
 
-    async def _commit_some(self, held: OwnedPartition, group: list[_Change], urgency: Urgency) -> None:
+    async def _commit_some(self, owned: OwnedPartition, group: list[_Change], urgency: Urgency) -> None:
         """Makes some of the changes; what is left is planned again, with what came meanwhile in its place."""
-        for batch in self._batches(held.part.zone, group)[:MOST_BATCHES]:
-            await self._commit_batch(held.part, batch, urgency)
-            await self._send(held)
+        for batch in self._batches(owned.partition.zone, group)[:MOST_BATCHES]:
+            await self._commit_batch(owned.partition, batch, urgency)
+            await self._send(owned)
 
     def _by_urgency(
         self,
-        part: Partition,
+        partition: Partition,
         changes: dict[AllocationKey, dict[int, TaskEntry]],
         extra: list[Write],
         pending: Iterable[AllocationKey],
     ) -> dict[Urgency, list[_Change]]:
         out: dict[Urgency, list[_Change]] = {Urgency.REPLICAS: [_Change(write) for write in extra], Urgency.STARTS: []}
-        cleaning = dict.fromkeys(part.left_over(self.replica.state))
+        cleaning = dict.fromkeys(partition.left_over(self.replica.state))
         out[Urgency.ENDS] = [_Change(Write(str(where), None), where) for where in cleaning]
         for where, entries in changes.items():
             if where in cleaning or where in pending:
@@ -416,7 +416,7 @@
             changes += pieces
         return out
 
-    def _writes_of(self, part: Partition, change: _Change) -> list[Write]:
+    def _writes_of(self, partition: Partition, change: _Change) -> list[Write]:
         """The change as it applies now, or nothing.
 
         Another one's transaction may have come between its planning and this moment: writing back an allocation as it
@@ -424,24 +424,24 @@
         """
         if change.where is None:
             return [change.write] if change.write is not None else []
-        record = self.replica.state.zone_allocations[part.zone].get(change.where)
+        record = self.replica.state.zone_allocations[partition.zone].get(change.where)
         if record is None:
             return []
         if change.entries is None:
-            over = part.is_left_over(self.replica.state, change.where)
+            over = partition.is_left_over(self.replica.state, change.where)
             return [change.write] if change.write is not None and over else []
         new = merged(record, change.entries, is_live_gang(self.replica.state, change.where.job))
         if new is None:
             return []
         return [Write(str(where), piece) for where, piece in records.split(change.where, new, self._record_tasks)]
 
-    async def _commit_batch(self, part: Partition, batch: list[_Change], urgency: Urgency) -> None:
-        if not self.permissions.owns(part):
+    async def _commit_batch(self, partition: Partition, batch: list[_Change], urgency: Urgency) -> None:
+        if not self.permissions.owns(partition):
             return
         writes: list[Write] = []
-        guards = {records.PART + part.zone}
+        guards = {records.PART + partition.zone}
         for change in batch:
-            made = self._writes_of(part, change)
+            made = self._writes_of(partition, change)
             writes += made
             if made and change.starting and change.where is not None:
                 guards.add(records.JOB + change.where.job)
@@ -451,13 +451,13 @@
         if outcome.verdict is Verdict.INVALID and len(batch) > 1:
             # One change that the service will not take must not keep the others from ever being made.
             for change in batch:
-                await self._commit_batch(part, [change], urgency)
+                await self._commit_batch(partition, [change], urgency)
         elif outcome.verdict not in (Verdict.DONE, Verdict.REFUSED):
-            log.info("holder transaction for %s: %s %s", part.zone, outcome.verdict.value, outcome.failed)
+            log.info("owner transaction for %s: %s %s", partition.zone, outcome.verdict.value, outcome.failed)
 
-    async def _send(self, held: OwnedPartition) -> None:
+    async def _send(self, owned: OwnedPartition) -> None:
         """Starts and stops go straight to the worker, by what the records say now."""
-        if held.part.ready:
+        if owned.partition.ready:
             self._spread_news()
-            self._take_news(held, time.monotonic())
-        await self._commands.send(held)
+            self._take_news(owned, time.monotonic())
+        await self._commands.send(owned)
--- a/spurarch/coordination/permissions.py
+++ b/spurarch/coordination/permissions.py
@@ -48,18 +48,20 @@
         """The copy of the records is recent: what only serves placement waits while this controller may be deposed."""
         return now - self.replica.synced_at < FRESH_S and self.steady(now) and self.replica.store.trusted
 
-    def owns(self, part: Partition) -> bool:
+    def owns(self, partition: Partition) -> bool:
         """The part is still held as it was when this was begun.
 
         Not by another, and not anew by ourselves, whose earlier knowledge of it would then be as stale as a stranger's.
         """
-        record = self.membership.holds(part.zone)
-        return record is not None and record.epoch == part.epoch
+        record = self.membership.holds(partition.zone)
+        return record is not None and record.epoch == partition.epoch
 
     def superseded(self, zone: str) -> bool:
         """Another holds the zone by now, as a peer says whose copy is newer than ours."""
-        heard, part = self.reachability.parts.get(zone), self.replica.state.parts.get(zone)
-        return heard is not None and heard[0] != self.membership.node and (part is None or heard[1] > part.epoch)
+        heard, partition = self.reachability.parts.get(zone), self.replica.state.parts.get(zone)
+        return (
+            heard is not None and heard[0] != self.membership.node and (partition is None or heard[1] > partition.epoch)
+        )
 
     def cancelled_ago(self, job: str) -> float | None:
         """Seconds since a job was cancelled, as far as can be told, or None if it is not known to be."""
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -1,4 +1,4 @@
-"""What a holder decides for its part each round: newcomers by best fit, whom to preempt, what to give back. Pure."""
+"""What an owner decides for its part each round: newcomers by best fit, whom to preempt, what to give back. Pure."""
 
 from __future__ import annotations
 
@@ -76,7 +76,7 @@
 
     def run(
         self,
-        part: Partition,
+        partition: Partition,
         view: FleetView,
         now: float,
         out_of_time: Callable[[], bool],
@@ -85,9 +85,9 @@
     ) -> Placement:
         """One round; what the time or `most` changed allocations cut off comes first in the next."""
         self.targets = {k: t for k, t in self.targets.items() if t[1] > now}
-        waiting_jobs = {where.job for where in part.free}
+        waiting_jobs = {where.job for where in partition.free}
         self.reservations = {j: r for j, r in self.reservations.items() if r.until > now and j in waiting_jobs}
-        turn = _Round(self, part, view, now, wall)
+        turn = _Round(self, partition, view, now, wall)
         try:
             turn.run(out_of_time, most)
         finally:
@@ -96,7 +96,7 @@
             self.moved_at = now
         if not turn.result.unfinished and not self.pending:
             self._since = {k: t for k, t in self._since.items() if k in turn.waiting}
-            self._allocations = {k: t for k, t in self._allocations.items() if k in part.free}
+            self._allocations = {k: t for k, t in self._allocations.items() if k in partition.free}
             self._claims = {k: t for k, t in self._claims.items() if k in turn.waiting}
         return turn.result
 
@@ -125,8 +125,8 @@
 class _Round:
     """One round of a part over the shared tables; the draft is undone at its end."""
 
-    def __init__(self, placer: Placer, part: Partition, view: FleetView, now: float, wall: float) -> None:
-        self.placer, self.part, self.view, self.now, self.wall = placer, part, view, now, wall
+    def __init__(self, placer: Placer, partition: Partition, view: FleetView, now: float, wall: float) -> None:
+        self.placer, self.partition, self.view, self.now, self.wall = placer, partition, view, now, wall
         self.result = Placement()
         self.waiting: set[tuple[str, int]] = set()
         self.draft = Draft()
@@ -151,8 +151,8 @@
 
     def _usable(self) -> list[Room]:
         out = []
-        for room in self.view.zone_rooms[self.view.zones.index(self.part.zone)].values():
-            machine = self.part.machines.get(self.view.machines.name(room.machine))
+        for room in self.view.zone_rooms[self.view.zones.index(self.partition.zone)].values():
+            machine = self.partition.machines.get(self.view.machines.name(room.machine))
             if machine is None or not machine.usable(self.now):
                 continue
             if self.now - (machine.heard_at or self.now) <= self.placer.silent_s:
@@ -164,12 +164,14 @@
         self._count_ended()
         self._reserved = self._reserve()
         self._roomy = [room for room in self.rooms if room.free_cpus > EPSILON]
-        part, view = self.part, self.view
+        partition, view = self.partition, self.view
         self._book_pending()
         for reservation in self.placer.reservations.values():
             self._keep_from_arrays(reservation.machines)
         # While arrays stand in line for changes, more of them can't be started, and their order may change.
-        free = [w for w in part.free if w.job in view.jobs and (not self.placer.pending or not view.jobs[w.job].array)]
+        free = [
+            w for w in partition.free if w.job in view.jobs and (not self.placer.pending or not view.jobs[w.job].array)
+        ]
         ranks = {w: self._rank(w) for w in free if w not in self.placer.pending and self._wanted(w.job)}
         order = sorted(ranks, key=ranks.__getitem__)
         for _, equals in groupby(order, key=lambda where: ranks[where][0][:2]):
@@ -190,7 +192,7 @@
                     self.draft.take(room, job.need)
 
     def _wanted(self, ref: str) -> bool:
-        backoff = self.part.backoffs.get(ref)
+        backoff = self.partition.backoffs.get(ref)
         return live(self.view.state, ref) and (backoff is None or backoff.not_before <= self.now)
 
     def _turns(
@@ -236,7 +238,7 @@
     def _left(self, where: AllocationKey) -> list[TaskEntry]:
         """Tasks that wait and have not been placed in this round."""
         placed = self.result.entries.get(where, {})
-        return [entry for entry in self.part.free[where] if entry.index not in placed]
+        return [entry for entry in self.partition.free[where] if entry.index not in placed]
 
     def _rank(self, where: AllocationKey) -> tuple[tuple[int, bool, float, float], str, int]:
         job = self.view.jobs[where.job]
@@ -247,7 +249,7 @@
 
     def _count_ended(self) -> None:
         """Tasks that have ended make room at once, also those whose end is not recorded yet."""
-        for where, runs in self.part.over.items():
+        for where, runs in self.partition.over.items():
             job = self.view.jobs.get(where.job)
             for run in runs.values():
                 room = self._rooms_by_name.get(run.machine)
@@ -267,14 +269,14 @@
         for key in self.placer.targets:
             job = self.view.jobs.get(key[0])
             room = self._target(key, job.need) if job is not None else None
-            placed = self.part.runs.get(key)
+            placed = self.partition.runs.get(key)
             if job is not None and room is not None and (placed is None or placed.stop):
                 self.draft.take(room, job.need)
                 out[key] = room
         return out
 
     def _assign(self, where: AllocationKey, entry: TaskEntry, room: Room, attempt: int | None = None) -> None:
-        machine = self.part.machines[self.view.machines.name(room.machine)]
+        machine = self.partition.machines[self.view.machines.name(room.machine)]
         number = entry.attempt + 1 if attempt is None else attempt
         new = TaskEntry(entry.index, records.ASSIGNED, number, machine.name, machine.session)
         self.result.entries.setdefault(where, {})[entry.index] = new
@@ -335,7 +337,7 @@
     def _lower(self, priority: int) -> bool:
         """Something of lower priority runs here.
 
-        Asked once a round: to ask for every job that waits is jobs times machines, and took a fifth of a holder's time
+        Asked once a round: to ask for every job that waits is jobs times machines, and took a fifth of an owner's time
         in the first minute of a large fleet.
         """
         if priority not in self._lowers:
@@ -359,14 +361,17 @@
 
     def _patience(self) -> float:
         """How long a task waits before it may be given back: it takes four changes to bring it elsewhere."""
-        return GIVE_BACK_SCARCE_S if self.placer.scarce and not self.part.dark else GIVE_BACK_S
+        return GIVE_BACK_SCARCE_S if self.placer.scarce and not self.partition.dark else GIVE_BACK_S
 
     def _stuck(self, since: float) -> bool:
         """Nothing of the queue moves.
 
         Machines that were to come up here are late, others took the room, or nobody hears the zone.
         """
-        return self.part.dark or self.now - max(since, self.placer.moved_at, self.part.grew_at) > GIVE_BACK_STUCK_S
+        return (
+            self.partition.dark
+            or self.now - max(since, self.placer.moved_at, self.partition.grew_at) > GIVE_BACK_STUCK_S
+        )
 
     def _better_elsewhere(self, job: JobView) -> bool:
         """The task would fit on a machine of another part, for a replica also by preemption there.
@@ -375,14 +380,14 @@
         would send its tasks after the room of the others. Each place found is counted once: if everything that waits
         here went after the same few places, most of it would come back, at four changes of records each.
         """
-        if self.placer.scarce and self.now - self.part.grew_at < STILL_GROWS_S:
+        if self.placer.scarce and self.now - self.partition.grew_at < STILL_GROWS_S:
             return False  # machines come up here too, and moving a task costs more than the wait
         need = job.need
         shape = (*need.shape, job.service)
         if shape not in self._elsewhere:
             queued = self._queues(need.priority)
             places: dict[int, int] = {}
-            closed = set(map(self.view.zones.index, (self.part.zone, *self.view.dark())))
+            closed = set(map(self.view.zones.index, (self.partition.zone, *self.view.dark())))
             for room in self.view.rooms.values():
                 if room.open and room.zone not in closed and room.allows(need):
                     places[room.zone] = places.get(room.zone, 0) + (
@@ -426,7 +431,7 @@
 
     def _place_gang(self, job: JobView) -> None:
         """Gives machines to all waiting members of a gang, under one number, or to none of them."""
-        gang = self.part.gangs.get(job.ref)
+        gang = self.partition.gangs.get(job.ref)
         if gang is None or job.ref in self._gangs_seen:
             return
         self._gangs_seen.add(job.ref)
@@ -515,7 +520,7 @@
         return rooms
 
     def _gang_fits_elsewhere(self, job: JobView, gang: GangAttempt) -> bool:
-        here = self.view.zones.index(self.part.zone)
+        here = self.view.zones.index(self.partition.zone)
         closed = set(map(self.view.zones.index, self.view.dark()))
         for zone, rooms in self.view.zone_rooms.items():
             if zone != here and zone not in closed:
@@ -528,7 +533,7 @@
 
     def _place_replicas(self, where: AllocationKey, job: JobView) -> None:
         need, full = job.need, self._hopeless(job.need)
-        for entry in self.part.free[where]:
+        for entry in self.partition.free[where]:
             key = where.job, entry.index
             if self._await_claim(where, job, entry):
                 continue
@@ -556,7 +561,7 @@
                 self._give_back(where, entry)
 
     def _has_image(self, room: Room, need: Need) -> bool:
-        return need.image in self.part.machines[self.view.machines.name(room.machine)].images
+        return need.image in self.partition.machines[self.view.machines.name(room.machine)].images
 
     # Whom to stop
 
@@ -598,7 +603,7 @@
 
         Members of gangs come last, and only for the most urgent work: each takes its whole gang with it.
         """
-        machine = self.part.machines[self.view.machines.name(room.machine)]
+        machine = self.partition.machines[self.view.machines.name(room.machine)]
         lower = [
             run for run in machine.runs.values()
             if self._stoppable(run) and self._priority(run) > need.priority and (gangs or not self._in_gang(run))
@@ -607,11 +612,13 @@
         return lower
 
     def _in_gang(self, run: TaskAttempt) -> bool:
-        return self.part.gangs.get(run.where.job) is not None
+        return self.partition.gangs.get(run.where.job) is not None
 
     def _loss(self, runs: list[TaskAttempt]) -> int:
         """How many tasks would stop with these."""
-        gangs = {run.where.job: gang.size for run in runs if (gang := self.part.gangs.get(run.where.job)) is not None}
+        gangs = {
+            run.where.job: gang.size for run in runs if (gang := self.partition.gangs.get(run.where.job)) is not None
+        }
         return sum(gangs.values()) + sum(run.where.job not in gangs for run in runs)
 
     def _stop(self, key: tuple[str, int], need: Need, runs: list[TaskAttempt], room: Room, wait_s: float) -> None:
@@ -643,7 +650,7 @@
         """
         if self._victims_by_guarantee is None:
             runs = [
-                run for run in self.part.runs.values()
+                run for run in self.partition.runs.values()
                 if self._stoppable(run) and run.where.job in self.view.jobs and not self._in_gang(run)
                 and run.where.job not in self.view.guaranteed()
             ]  # fmt: skip
--- a/spurarch/coordination/provisioning.py
+++ b/spurarch/coordination/provisioning.py
@@ -75,7 +75,7 @@
 ) -> list[Order]:  # fmt: skip
     """Rents for the tasks that fit neither on what is up nor on what is booting, at the least price per task."""
     rooms = [room_of(view, view.offers[k.type], k) for k in booting if k.type in view.offers]
-    held: dict[Kind, int] = defaultdict(int)
+    owned: dict[Kind, int] = defaultdict(int)
     per_zone: dict[int, int] = defaultdict(int)
     for zone, there in view.zone_rooms.items():
         per_zone[zone] += len(there)
@@ -101,9 +101,9 @@
         rooms = [room for room in rooms if room.free_cpus > EPSILON]
         while left > 0:
             kind = _cheapest(view, shortage.need, left, closed, open_zones, per_zone)
-            if kind is None or sum(held.values()) >= MOST_PLANNED:
+            if kind is None or sum(owned.values()) >= MOST_PLANNED:
                 break
-            held[kind] += 1
+            owned[kind] += 1
             room = room_of(view, view.offers[kind.type], kind)
             per_zone[room.zone] += 1
             taken = room.slots(shortage.need, left)
@@ -111,7 +111,7 @@
             left -= taken
             if room.free_cpus > EPSILON:
                 rooms.append(room)
-    return [Order(kind, min(count, MOST_AT_ONCE)) for kind, count in held.items()]
+    return [Order(kind, min(count, MOST_AT_ONCE)) for kind, count in owned.items()]
 
 
 def _zones_by_room(view: FleetView, need: Need, count: int, booting: list[Room], zones: list[str]) -> list[str]:
--- a/spurarch/coordination/release_candidates.py
+++ b/spurarch/coordination/release_candidates.py
@@ -1,4 +1,4 @@
-"""Which machines a holder gives back to the cloud, and why. Pure."""
+"""Which machines an owner gives back to the cloud, and why. Pure."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 OVERDUE_REPORTS = 4.0
 
 
-def cut_off(part: Partition, workers: Workers, now: float, woke_at: float = 0.0) -> bool:
+def cut_off(partition: Partition, workers: Workers, now: float, woke_at: float = 0.0) -> bool:
     """Most of a part's machines fell silent at once: more likely this controller is cut off than they are gone.
 
     Returning them would throw away a zone of healthy machines that report to another controller by now. Silence counts
@@ -28,53 +28,67 @@
     """
     limit = max(CUT_SILENCE_S, CUT_REPORTS * workers.report_s)
     silent = total = 0
-    for machine in part.machines.values():
+    for machine in partition.machines.values():
         if machine.returning or machine.standing is Standing.GONE:
             continue
         total += 1
         if machine.standing is Standing.UNKNOWN:
-            # Workers need a while to find a new holder. All count together: one machine that was heard once must not
+            # Workers need a while to find a new owner. All count together: one machine that was heard once must not
             # stand for a zone that nobody has heard since.
-            silent += now - max(part.taken_at, machine.first_seen, woke_at) > limit + FIND_S
+            silent += now - max(partition.taken_at, machine.first_seen, woke_at) > limit + FIND_S
         else:
             silent += now - max(machine.heard_at or machine.first_seen, woke_at) > limit
     return silent >= 2 and 2 * silent > total
 
 
 def silent_machines(
-    part: Partition, tuning: Tuning, workers: Workers, old_holder_s: float, now: float, cut: bool, woke_at: float = 0.0
+    partition: Partition,
+    tuning: Tuning,
+    workers: Workers,
+    old_holder_s: float,
+    now: float,
+    cut: bool,
+    woke_at: float = 0.0,
 ) -> list[Machine]:
     """Silent and deaf machines to return, which is the fastest proof that their tasks are off.
 
-    `old_holder_s` is how long a holder before us may go on answering workers after it was last heard of.
+    `old_holder_s` is how long an owner before us may go on answering workers after it was last heard of.
     """
-    out = [m for m in part.machines.values() if _silent(part, m, tuning, workers, old_holder_s, now, woke_at)]
-    if cut or _suspect(part, workers, now, woke_at):
+    out = [m for m in partition.machines.values() if _silent(partition, m, tuning, workers, old_holder_s, now, woke_at)]
+    if cut or _suspect(partition, workers, now, woke_at):
         # Those that nobody answered for longer than a lease are no loss, whoever is cut off.
         return [m for m in out if m.standing is not Standing.KNOWN]
     return out
 
 
-def _suspect(part: Partition, workers: Workers, now: float, woke_at: float) -> bool:
+def _suspect(partition: Partition, workers: Workers, now: float, woke_at: float) -> bool:
     """So many machines are late with their reports that this may be a cut, before it is plain to see.
 
     When a controller is cut off, the first machines pass the patience for a single one before half of them pass the
     limit for a cut: a quarter of a healthy zone was once returned in that second.
     """
-    known = [m for m in part.machines.values() if m.standing is Standing.KNOWN and not m.returning]
+    known = [m for m in partition.machines.values() if m.standing is Standing.KNOWN and not m.returning]
     late = sum(now - max(m.heard_at or m.first_seen, woke_at) > SUSPECT_REPORTS * workers.report_s for m in known)
     return late >= 2 and late > SUSPECT_SHARE * len(known)
 
 
 def _silent(
-    part: Partition, machine: Machine, tuning: Tuning, workers: Workers, old_holder_s: float, now: float, woke_at: float
+    partition: Partition,
+    machine: Machine,
+    tuning: Tuning,
+    workers: Workers,
+    old_holder_s: float,
+    now: float,
+    woke_at: float,
 ) -> bool:
     if machine.standing is Standing.GONE or machine.returning:
         return False
     if machine.standing is Standing.UNKNOWN:
-        # An old holder that is cut off from all but its workers may keep it alive, so time proves nothing, and its
-        # return would end healthy work. Such a holder stops in the end, and then its workers look for us.
-        return now - max(part.taken_at, machine.first_seen, woke_at) > max(workers.lease_s * 1.5, old_holder_s + FIND_S)
+        # An old owner that is cut off from all but its workers may keep it alive, so time proves nothing, and its
+        # return would end healthy work. Such an owner stops in the end, and then its workers look for us.
+        return now - max(partition.taken_at, machine.first_seen, woke_at) > max(
+            workers.lease_s * 1.5, old_holder_s + FIND_S
+        )
     if machine.standing is Standing.LOST:
         # Its tasks are free already. A zone that was cut off comes back, and its machines with it.
         return now - max(machine.heard_at or machine.first_seen, woke_at) > LOST_LEASES * workers.lease_s
@@ -84,20 +98,22 @@
     return now - max(machine.heard_at or machine.first_seen, woke_at) > patience
 
 
-def overdue_machines(part: Partition, workers: Workers, now: float, cut: bool, woke_at: float = 0.0) -> list[Machine]:
+def overdue_machines(
+    partition: Partition, workers: Workers, now: float, cut: bool, woke_at: float = 0.0
+) -> list[Machine]:
     """Machines that may still hold a cancelled task, though its stop was asked for long ago.
 
     A machine that hangs neither ends its tasks nor lets its lease end them, and only its return proves them gone: a wrong
-    return costs work, waiting breaks a rule. So these are returned in an outage too, when this holder may have been
+    return costs work, waiting breaks a rule. So these are returned in an outage too, when this owner may have been
     deposed. Machines that it has not heard itself, or most of which fell silent at once, may well report to somebody
-    else, who stops the task; they get longer, until a holder that is cut off has had to let go of them.
+    else, who stops the task; they get longer, until an owner that is cut off has had to let go of them.
     """
     out = []
-    for name in list(part.revoking):
-        machine = part.machines.get(name)
-        since = part.overdue(machine) if machine is not None and machine.standing is not Standing.GONE else None
+    for name in list(partition.revoking):
+        machine = partition.machines.get(name)
+        since = partition.overdue(machine) if machine is not None and machine.standing is not Standing.GONE else None
         if machine is None or since is None:
-            del part.revoking[name]
+            del partition.revoking[name]
             continue
         share = OVERDUE_UNHEARD if cut or machine.standing is Standing.UNKNOWN else OVERDUE
         if now - since > share * workers.cancel_s and now - woke_at > OVERDUE_REPORTS * workers.report_s:
@@ -110,7 +126,7 @@
 ) -> dict[str, str]:
     """Machines, and their zones, that may hold a cancelled task while nobody who lives holds their part.
 
-    A holder ended and the state service is out before another could claim. By the copy that is left, as late as for
+    An owner ended and the state service is out before another could claim. By the copy that is left, as late as for
     machines unheard.
     """
     out: dict[str, str] = {}
@@ -123,22 +139,27 @@
     return out
 
 
-def idle_machines(part: Partition, view: FleetView, tuning: Tuning, now: float) -> list[Machine]:
+def idle_machines(partition: Partition, view: FleetView, tuning: Tuning, now: float) -> list[Machine]:
     """Machines without a task: emptied ones at once, others after a while and beyond the share of room set aside."""
     closed = set(map(view.zones.index, view.dark()))
     rooms = [r for r in view.rooms.values() if r.open and r.zone not in closed]
     total = sum(r.cpus for r in rooms)
     free = sum(max(0.0, r.free_cpus) for r in rooms)
     out = []
-    for room in view.zone_rooms[view.zones.index(part.zone)].values():
-        machine = part.machines.get(view.machines.name(room.machine))
+    for room in view.zone_rooms[view.zones.index(partition.zone)].values():
+        machine = partition.machines.get(view.machines.name(room.machine))
         if machine is None or room.tasks or machine.runs or machine.standing is not Standing.KNOWN or machine.returning:
             continue
         if machine.emptying or machine.failures >= FAULTS_BEFORE_PAUSE:
             # A closed machine is no room for anyone: kept, it would only cost. A faulty one is replaced.
             out.append(machine)
             continue
-        if part.free or machine.idle_since is None or now - machine.idle_since < tuning.idle_return_s or not room.open:
+        if (
+            partition.free
+            or machine.idle_since is None
+            or now - machine.idle_since < tuning.idle_return_s
+            or not room.open
+        ):
             continue
         if free - room.cpus < tuning.headroom * (total - room.cpus):
             continue
--- a/spurarch/coordination/releasing.py
+++ b/spurarch/coordination/releasing.py
@@ -1,4 +1,4 @@
-"""Silence, cuts and what goes back to the cloud: by whom a holder is not heard, and what follows."""
+"""Silence, cuts and what goes back to the cloud: by whom an owner is not heard, and what follows."""
 
 from __future__ import annotations
 
@@ -45,40 +45,40 @@
 
     def __init__(
         self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, can: Permissions, stall_detector: StallDetector,
-        deployment: Deployment, tuning: Tuning, held: dict[str, OwnedPartition],
+        deployment: Deployment, tuning: Tuning, owned: dict[str, OwnedPartition],
     ) -> None:  # fmt: skip
         self.replica, self.membership, self.view, self.cloud = replica, membership, view, cloud
         self.reachability, self._permissions, self._stall_detector = can.reachability, can, stall_detector
-        self.deployment, self.tuning, self.held = deployment, tuning, held
-        self.heard_elsewhere: dict[str, dict[str, int]] = {}  # by peer and zone, workers that look for their holder
+        self.deployment, self.tuning, self.owned = deployment, tuning, owned
+        self.heard_elsewhere: dict[str, dict[str, int]] = {}  # by peer and zone, workers that look for their owner
         self._next_orphans = 0.0
         self._orphans_under_way = False
         self._returned: dict[str, str] = {}  # machines that this process returned, and their zones
 
-    async def watch_silence(self, held: OwnedPartition, now: float) -> None:
-        """Starts the return of machines that are silent, deaf, or were never seen by this holder."""
-        if now < held.next_look or not self._permissions.fresh(now):
+    async def watch_silence(self, owned: OwnedPartition, now: float) -> None:
+        """Starts the return of machines that are silent, deaf, or were never seen by this owner."""
+        if now < owned.next_look or not self._permissions.fresh(now):
             return
-        held.next_look = now + RETURNS_S
+        owned.next_look = now + RETURNS_S
         workers, woke_at = self.deployment.workers, self._stall_detector.woke_at
-        held.cut = cut_off(held.part, workers, now, woke_at)
-        self._note_cut(held, now)
-        found = silent_machines(held.part, self.tuning, workers, self.reachability.limit, now, held.cut, woke_at)
-        await self._start_return(held, found, now, self._return)
+        owned.cut = cut_off(owned.partition, workers, now, woke_at)
+        self._note_cut(owned, now)
+        found = silent_machines(owned.partition, self.tuning, workers, self.reachability.limit, now, owned.cut, woke_at)
+        await self._start_return(owned, found, now, self._return)
 
-    async def watch_overdue(self, held: OwnedPartition, now: float) -> None:
-        """MachineReleaser machines whose cancelled tasks won't show that they left, whether or not the state service answers."""
-        part = held.part
+    async def watch_overdue(self, owned: OwnedPartition, now: float) -> None:
+        """Returns machines whose cancelled tasks won't show that they left, whether or not the state service answers."""
+        partition = owned.partition
         if (
-            not part.revoking
-            or now < held.next_overdue
+            not partition.revoking
+            or now < owned.next_overdue
             or not self._permissions.steady(now)
-            or self._permissions.superseded(part.zone)
+            or self._permissions.superseded(partition.zone)
         ):
             return
-        held.next_overdue = now + RETURNS_S
-        found = overdue_machines(part, self.deployment.workers, now, held.cut, self._stall_detector.woke_at)
-        await self._start_return(held, found, now, self._return_overdue)
+        owned.next_overdue = now + RETURNS_S
+        found = overdue_machines(partition, self.deployment.workers, now, owned.cut, self._stall_detector.woke_at)
+        await self._start_return(owned, found, now, self._return_overdue)
 
     async def watch_orphans(self, now: float) -> None:
         """The same for parts that nobody holds, in an outage: whoever lives may return such machines."""
@@ -88,9 +88,9 @@
             return  # a controller that is alone would take everybody's machines for orphaned
         self._next_orphans = now + RETURNS_S
         zones = {
-            zone for zone, part in self.replica.state.parts.items()
+            zone for zone, partition in self.replica.state.parts.items()
             if self.membership.holds(zone) is None and not self._permissions.superseded(zone)
-            and not self.reachability.answers(part.node, now, part.boot)
+            and not self.reachability.answers(partition.node, now, partition.boot)
         }  # fmt: skip
         found = orphaned_machines(self.replica.state, zones, self._permissions.cancelled_ago, self.deployment.workers)
         left = {name: zone for name, zone in found.items() if name not in self._returned}
@@ -113,101 +113,103 @@
         while len(self._returned) > RETURNED_KEPT:
             del self._returned[next(iter(self._returned))]
 
-    async def _return_overdue(self, held: OwnedPartition, machines: list[Machine]) -> None:
-        part = held.part
+    async def _return_overdue(self, owned: OwnedPartition, machines: list[Machine]) -> None:
+        partition = owned.partition
         log.info("returning %s: cancelled tasks may be on them", " ".join(m.name for m in machines))
 
         def still() -> bool:
             now = time.monotonic()
             return (
-                self._permissions.owns(part)
+                self._permissions.owns(partition)
                 and self._permissions.steady(now)
-                and any(part.overdue(m) is not None for m in machines)
+                and any(partition.overdue(m) is not None for m in machines)
             )
 
         try:
-            await self._release(held, machines, still)
+            await self._release(owned, machines, still)
         finally:
             self._keep_rest(machines)
 
     def unrecorded(self) -> list[str]:
         """Machines that this process returned and that are on record all the same.
 
-        Their part went to another first, or a transaction that had put them there was carried out late. Their holder
+        Their part went to another first, or a transaction that had put them there was carried out late. Their owner
         would take them for room, and wait.
         """
         on_record = self.replica.state.machines
         return [name for name, zone in self._returned.items() if name in on_record[zone]][:RETURN_AT_ONCE]
 
-    async def return_idle(self, held: OwnedPartition, now: float) -> None:
+    async def return_idle(self, owned: OwnedPartition, now: float) -> None:
         """Starts the return of machines without work; in line with placing, which might give them some."""
-        if now >= held.next_returns and self._permissions.fresh(now) and not held.cut:
-            held.next_returns = now + RETURNS_S
-            await self._start_return(held, idle_machines(held.part, self.view, self.tuning, now), now, self._return)
+        if now >= owned.next_returns and self._permissions.fresh(now) and not owned.cut:
+            owned.next_returns = now + RETURNS_S
+            await self._start_return(
+                owned, idle_machines(owned.partition, self.view, self.tuning, now), now, self._return
+            )
 
     async def _start_return(
-        self, held: OwnedPartition, found: list[Machine], now: float, how: Callable[[OwnedPartition, list[Machine]], Awaitable[None]]
+        self, owned: OwnedPartition, found: list[Machine], now: float, how: Callable[[OwnedPartition, list[Machine]], Awaitable[None]]
     ) -> None:  # fmt: skip
         machines = [m for m in found if m.return_after <= now][:RETURN_AT_ONCE]
         if machines:
             for machine in machines:
                 machine.returning = True
-            await curio.spawn(how, held, machines, daemon=True)
+            await curio.spawn(how, owned, machines, daemon=True)
 
     def hear(self, node: str, strangers: dict[str, int], returned: list[str]) -> None:
-        """A peer says which workers look for their holder there, and which machines it returned without a record."""
+        """A peer says which workers look for their owner there, and which machines it returned without a record."""
         self.heard_elsewhere[node] = strangers
-        for held in self.held.values():
+        for owned in self.owned.values():
             for name in returned:
-                if name in held.part.machines:
-                    held.part.returned(name)
+                if name in owned.partition.machines:
+                    owned.partition.returned(name)
         for zone in strangers:
-            if zone in self.held:
-                self.held[zone].next_look = 0.0  # what is left of those workers' leases is short
+            if zone in self.owned:
+                self.owned[zone].next_look = 0.0  # what is left of those workers' leases is short
 
-    def _note_cut(self, held: OwnedPartition, now: float) -> None:
+    def _note_cut(self, owned: OwnedPartition, now: float) -> None:
         """Most machines of a part fell silent: whose fault is it?
 
         If others hear those workers, this controller is cut off from them, and another should take the part. If nobody
         does, the zone is: the part stays with the one who remembers its machines, since only that one can tell when
-        their leases have run out (a new holder would have to wait for longer, or return them all).
+        their leases have run out (a new owner would have to wait for longer, or return them all).
         """
-        part, zone = held.part, held.part.zone
-        if not held.cut:
-            held.cut_since = None
-        elif held.cut_since is None:
-            held.cut_since = now
+        partition, zone = owned.partition, owned.partition.zone
+        if not owned.cut:
+            owned.cut_since = None
+        elif owned.cut_since is None:
+            owned.cut_since = now
         # Once the zone is back, some of its workers come here, though others go to other controllers first.
-        known = [m for m in part.machines.values() if m.standing is Standing.KNOWN]
-        if part.machines:
-            held.peopled_at = now
-        if any(now - (m.heard_at or 0.0) < BACK_S for m in known) or now - held.peopled_at > EMPTY_S:
+        known = [m for m in partition.machines.values() if m.standing is Standing.KNOWN]
+        if partition.machines:
+            owned.peopled_at = now
+        if any(now - (m.heard_at or 0.0) < BACK_S for m in known) or now - owned.peopled_at > EMPTY_S:
             # A dark zone whose machines have all been returned stays dark for a while: what is rented there would not be
             # heard either, and what is admitted for it would come back, again and again.
-            part.dark = False
-        elif held.cut_since is not None:
+            partition.dark = False
+        elif owned.cut_since is not None:
             elsewhere = sum(heard.get(zone, 0) for heard in self.heard_elsewhere.values())
-            blind = not self.heard_elsewhere and now - held.cut_since > BLIND_S
-            if elsewhere >= max(1, min(STRANGERS, len(part.machines) // 4)) or (blind and not part.dark):
+            blind = not self.heard_elsewhere and now - owned.cut_since > BLIND_S
+            if elsewhere >= max(1, min(STRANGERS, len(partition.machines) // 4)) or (blind and not partition.dark):
                 self.membership.note_unheard(zone, now)
                 log.warning("most machines of %s are silent: another controller should take the part", zone)
-            elif not part.dark and self.heard_elsewhere:
-                part.dark = True
+            elif not partition.dark and self.heard_elsewhere:
+                partition.dark = True
                 log.warning("nobody hears the machines of %s", zone)
-        self.membership.note_dark(zone, part.dark)
+        self.membership.note_dark(zone, partition.dark)
 
-    async def _return(self, held: OwnedPartition, machines: list[Machine]) -> None:
-        """MachineReleaser machines in one call: calls are few, and a wave of silent machines has many."""
-        part, asked = held.part, machines
+    async def _return(self, owned: OwnedPartition, machines: list[Machine]) -> None:
+        """Returns machines in one call: calls are few, and a wave of silent machines has many."""
+        partition, asked = owned.partition, machines
         try:
             # A controller cut from the state service may have been deposed: to it, all machines of its old part look
-            # silent while they report to the new holder, and returning them would end healthy work.
-            if not await self.replica.sync() or not self._permissions.owns(part):
+            # silent while they report to the new owner, and returning them would end healthy work.
+            if not await self.replica.sync() or not self._permissions.owns(partition):
                 return
             idle = [m for m in machines if m.standing is Standing.KNOWN and not m.runs]
-            if not await self._close(part, idle):
+            if not await self._close(partition, idle):
                 return
-            if not self._permissions.owns(part):
+            if not self._permissions.owns(partition):
                 return
             # A task may have been recorded onto one of them meanwhile.
             machines = [m for m in machines if m not in idle or not m.runs]
@@ -218,12 +220,12 @@
                 log.info("returning %s (%s, %d tasks)", machine.name, state, len(machine.runs))
             # The line in front of the cloud may be long, and this process may stand still in it.
             await self._release(
-                held, machines, lambda: self._permissions.owns(part) and self._permissions.fresh(time.monotonic())
+                owned, machines, lambda: self._permissions.owns(partition) and self._permissions.fresh(time.monotonic())
             )
         finally:
             self._keep_rest(asked)
 
-    async def _release(self, held: OwnedPartition, machines: list[Machine], still: Callable[[], bool]) -> None:
+    async def _release(self, owned: OwnedPartition, machines: list[Machine], still: Callable[[], bool]) -> None:
         """Has the cloud take machines back; its answer proves that everything on them is gone."""
         try:
             await self.cloud.release([m.name for m in machines], still)
@@ -231,9 +233,9 @@
             log.info("return of %d machines: %s", len(machines), err)
             return
         for machine in machines:
-            held.part.returned(machine.name)
+            owned.partition.returned(machine.name)
         self._remember_returned({machine.name: machine.zone for machine in machines})
-        await held.bell.set()
+        await owned.wakeup.set()
 
     @staticmethod
     def _keep_rest(machines: list[Machine]) -> None:
@@ -247,16 +249,16 @@
                 machine.return_after = time.monotonic() + RETURNS_S
                 machine.returning = False
 
-    async def _close(self, part: Partition, machines: list[Machine]) -> bool:
+    async def _close(self, partition: Partition, machines: list[Machine]) -> bool:
         """Closes machines on record first: no task may be assigned to them while the cloud takes them down."""
         writes = []
         for machine in machines:
             record = MachineRecord(machine.type, machine.spot, machine.addr, False)
-            if self.replica.state.machines[part.zone].get(machine.name) != record:
-                writes.append(Write(records.machine_key(part.zone, machine.name), record))
+            if self.replica.state.machines[partition.zone].get(machine.name) != record:
+                writes.append(Write(records.machine_key(partition.zone, machine.name), record))
         most = self.deployment.state.transaction_changes
         for at in range(0, len(writes), most):
-            outcome = await self.replica.commit(writes[at : at + most], [records.PART + part.zone], give_up_s=3.0)
+            outcome = await self.replica.commit(writes[at : at + most], [records.PART + partition.zone], give_up_s=3.0)
             if outcome.verdict is not Verdict.DONE:
                 return False
         return True
--- a/spurarch/coordination/stall_detector.py
+++ b/spurarch/coordination/stall_detector.py
@@ -1,7 +1,7 @@
 """Whether this process has been running all along.
 
 A process that stood still, its clocks running on, wakes with old conclusions in hand: everybody else's silence was its
-own, its parts may have another holder, and timers that came due meanwhile all fire at once. So after a gap nothing is
+own, its parts may have another owner, and timers that came due meanwhile all fire at once. So after a gap nothing is
 concluded, commanded or returned before a word that was asked for after it.
 """
 
--- a/spurarch/coordination/store_reachability.py
+++ b/spurarch/coordination/store_reachability.py
@@ -1,7 +1,7 @@
 """Whether this controller may still act while it can't reach the state service.
 
 An outage and a refusal of this controller alone look the same from here. Running work should live through both, but a
-cancellation may be confirmed elsewhere meanwhile, and its tasks have to be gone within `cancel_s`. So the holder goes
+cancellation may be confirmed elsewhere meanwhile, and its tasks have to be gone within `cancel_s`. So the owner goes
 on answering reports only while the newest *word* is young enough. A word of time T says that this controller knows
 every cancellation that anybody confirmed before T. It is the newest of
   - the time at which the newest successful read of the state service was sent;
--- a/spurarch/coordination/tabu.py
+++ b/spurarch/coordination/tabu.py
@@ -73,7 +73,7 @@
 
     def _counted(self) -> list[int]:
         """Machines that hold tasks and are not being emptied."""
-        return [i for i, held in enumerate(self._held) if held > 0 and i not in self._emptying]
+        return [i for i, owned in enumerate(self._held) if owned > 0 and i not in self._emptying]
 
     def imbalance(self) -> float:
         """IB: over booked amounts, dimension by dimension; a dimension nobody uses counts as even."""
@@ -90,8 +90,8 @@
 
     def cost(self) -> float:
         """The paper's cost of the present placement."""
-        dirty = self._moved / len(self.tasks) if self.tasks else 0.0
-        return self.weights.imbalance * self.imbalance() + self.weights.move * dirty
+        changed_keys = self._moved / len(self.tasks) if self.tasks else 0.0
+        return self.weights.imbalance * self.imbalance() + self.weights.move * changed_keys
 
     def _means(self, counted: list[int]) -> list[float]:
         return [sum(booked(self.rooms[i]) for i in counted) / len(counted) for booked in BOOKED]
--- a/spurarch/coordination/view.py
+++ b/spurarch/coordination/view.py
@@ -1,6 +1,6 @@
 """The whole fleet as the records show it: room on every machine, use by every team, tasks that wait in each part.
 
-Kept up to date from changed records only. The leader admits by it and each holder places by it; both work on its
+Kept up to date from changed records only. The leader admits by it and each owner places by it; both work on its
 dense-index tables and never on names.
 """
 
@@ -105,12 +105,12 @@
         self.offers: dict[str, wire.MachineType] = {}
         self._booked: dict[AllocationKey, _Booked] = {}
         self._waiting: dict[AllocationKey, _Booked] = {}
-        self._held: dict[int, dict[AllocationKey, int]] = defaultdict(dict)  # by machine
+        self._assigned: dict[int, dict[AllocationKey, int]] = defaultdict(dict)  # by machine
         self._cached: dict[int, dict[int, None]] = defaultdict(dict)
         self._wanted: dict[str, int] = {}  # by job: tasks that are not over
         self._guaranteed: set[str] | None = None
         self._usual: float | None = None  # allowance in seconds per CPU second of work, over the jobs that wait
-        self._dirty = state.subscribe()
+        self._changed_keys = state.subscribe()
         self._start_within = {o.job_class: o.within_s for o in objectives if o.kind == START_OBJECTIVE}
         for team in teams:
             self.limits[self.teams.index(team.name)] = team
@@ -120,14 +120,14 @@
         fresh = any(offer.name not in self.offers for offer in offers)
         self.offers = {offer.name: offer for offer in offers}
         if fresh:
-            self._dirty.update((key, None) for key in self.state.entries if key.startswith(records.MACHINE))
+            self._changed_keys.update((key, None) for key in self.state.entries if key.startswith(records.MACHINE))
 
     def update(self) -> None:
         """Follows the records."""
-        if not self._dirty:
+        if not self._changed_keys:
             return
-        keys = list(self._dirty)
-        self._dirty.clear()
+        keys = list(self._changed_keys)
+        self._changed_keys.clear()
         self._usual = None
         touched: dict[str, None] = {}
         allocations: list[AllocationKey] = []
@@ -165,10 +165,10 @@
             self._wanted.pop(ref, None)
 
     def dark(self) -> set[str]:
-        """Zones whose holder says that nobody hears their workers: what is there is no room for anyone."""
+        """Zones whose owner says that nobody hears their workers: what is there is no room for anyone."""
         members = self.state.members
-        holders = {zone: members.get(part.node) for zone, part in self.state.parts.items()}
-        return {zone for zone, member in holders.items() if member is not None and zone in member.dark}
+        owners = {zone: members.get(partition.node) for zone, partition in self.state.parts.items()}
+        return {zone for zone, member in owners.items() if member is not None and zone in member.dark}
 
     def guaranteed(self) -> set[str]:
         """Jobs that fit into their team's guarantee together with the team's earlier ones: they need not wait on others."""
@@ -278,7 +278,7 @@
                 set(self._cached[machine]),
             )  # fmt: skip
             self.rooms[machine] = self.zone_rooms[where][machine] = room
-            for allocation, count in self._held[machine].items():
+            for allocation, count in self._assigned[machine].items():
                 room.take(self.jobs[allocation.job].need, count)
         room.open = record.open
 
@@ -324,13 +324,13 @@
         self.gpus_used[job.team] += sign * charged * job.need.gpus
         self.running[job.team][booked.zone] += sign * booked.assigned * job.need.cpus
         for machine, count in booked.on.items():
-            held = self._held[machine]
+            assigned = self._assigned[machine]
             if sign > 0:
-                held[where] = count
+                assigned[where] = count
             else:
-                held.pop(where, None)
-                if not held:
-                    del self._held[machine]
+                assigned.pop(where, None)
+                if not assigned:
+                    del self._assigned[machine]
             room = self.rooms.get(machine)
             if room is not None:
                 room.take(job.need, sign * count)
--- a/spurarch/recovery/launch.py
+++ b/spurarch/recovery/launch.py
@@ -29,7 +29,7 @@
         controller.replica.state.finals.update(self._finals)
         return RecoveryService(
             controller.platform, controller.tuning, controller.network, self.guard, controller.replica,
-            controller.holder, controller.holder.permissions, controller.cloud, controller.peers, controller.boot,
+            controller.owner, controller.owner.permissions, controller.cloud, controller.peers, controller.boot,
         )  # fmt: skip
 
 
--- a/spurarch/storage/cloud.py
+++ b/spurarch/storage/cloud.py
@@ -89,7 +89,7 @@
         return _decode(wire.names_decoder, answer).machines
 
     async def release(self, names: list[str], still: Callable[[], bool]) -> None:
-        """MachineReleaser up to 100 machines; they are gone when this ends without an error. `still` as in `rent`."""
+        """Returns up to 100 machines; they are gone when this ends without an error. `still` as in `rent`."""
         await self._call("POST", wire.PATH_RELEASE, wire.encode(wire.MachineNames(names)), still)
 
 
--- a/spurarch/storage/records.py
+++ b/spurarch/storage/records.py
@@ -31,7 +31,7 @@
     """A job that is not over.
 
     `at` is the wall clock of its submission and only orders jobs; `cancelled_at` that of its cancellation, by which a
-    holder that learns of it late knows what is left of `cancel_s`.
+    owner that learns of it late knows what is left of `cancel_s`.
     """
 
     spec: Submission
@@ -99,7 +99,7 @@
 
 
 class MachineRecord(Struct):
-    """A machine that has reported to its part's holder."""
+    """A machine that has reported to its partition's owner."""
 
     type: str
     spot: bool
--- a/spurarch/transport/frames.py
+++ b/spurarch/transport/frames.py
@@ -62,7 +62,7 @@
         self._lock = curio.Lock()
 
     async def call(self, frame: bytes, timeout_s: float) -> bytes | None:
-        """MachineReleaser the peer's answer, or None if none came in time."""
+        """Returns the peer's answer, or None if none came in time."""
         try:
             async with curio.timeout_after(timeout_s), self._lock:
                 try:
--- a/spurarch/transport/network.py
+++ b/spurarch/transport/network.py
@@ -20,7 +20,7 @@
     """A client of a peer's back channel."""
 
     async def call(self, frame: bytes, timeout_s: float) -> bytes | None:
-        """MachineReleaser the peer's answer, or None if none came in time."""
+        """Returns the peer's answer, or None if none came in time."""
 
 
 class Service(Protocol):
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -276,7 +276,7 @@
         elif action == "late-reports":  # of that share a copy arrives again, up to well over a lease later
             self.world.late_reports_until = now + float(opts["for"])
             self.world.late_reports_share = float(opts["share"])
-        elif action == "mute":  # its reports reachability nobody, direct commands reachability it
+        elif action == "mute":  # its reports reach nobody, direct commands reach it
             self.wire.cuts.append(Cut(args[0], "*", now + float(opts["for"]), "mute"))
         elif action == "cancel-at-end":  # jobs that end are called off at that moment
             await curio.spawn(self._cancel_ends, now + float(opts["for"]), daemon=True)
@@ -461,7 +461,7 @@
         """All the time: no machine that is gone for good is taken for room again.
 
         While the state service is out, nobody can take it off the record, nor put anything onto it, nor while its
-        answers come too late. A late transaction may put it back, for as long as its holder needs to take it off;
+        answers come too late. A late transaction may put it back, for as long as its owner needs to take it off;
         whatever does that time and again is a fault. When all controllers end, none is left that knows of the return:
         those that come back find out by the machine's silence, as for any machine that they never heard.
         """
--- a/tests/sim/store.py
+++ b/tests/sim/store.py
@@ -186,7 +186,7 @@
     def repeat_all(self, but: str) -> list[str]:
         """Carries out every transaction once more, as a late copy of it would be.
 
-        MachineReleaser the keys of those that found their conditions met again, except the ones that create nothing but keys
+        Returns the keys of those that found their conditions met again, except the ones that create nothing but keys
         that begin with `but`.
         """
         again = []
--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -75,13 +75,13 @@
     leader = leader_of(fleet)
     leader.replica = SimpleNamespace(state=fleet.state, loaded=True)
     leader.membership = SimpleNamespace(leading=False)
-    leader._bell = curio.Event()
-    leader._dirty = fleet.state.subscribe()
-    assert leader._dirty
+    leader._wakeup = curio.Event()
+    leader._changed_keys = fleet.state.subscribe()
+    assert leader._changed_keys
 
     async def play() -> None:
-        await leader._bell.set()  # as the controller's beat does
+        await leader._wakeup.set()  # as the controller's beat does
         await curio.ignore_after(2.0, leader.run)
 
     Clock().run(play)
-    assert not leader._dirty
+    assert not leader._changed_keys
--- a/tests/test_bursts.py
+++ b/tests/test_bursts.py
@@ -32,9 +32,9 @@
         waiting_in(fleet, "b", "job-2", queue_of_b)
     fleet.news(list(fleet.state.entries))
     placer = Placer()
-    placer.scarce, fleet.part.grew_at = scarce, grew_at
+    placer.scarce, fleet.partition.grew_at = scarce, grew_at
     for now in (1.0, 3.0 if not scarce else 7.0):
-        turn = placer.run(fleet.part, fleet.view, now, lambda: False, 100)
+        turn = placer.run(fleet.partition, fleet.view, now, lambda: False, 100)
     return sum(e.state == records.RETURNED for entries in turn.entries.values() for e in entries.values())
 
 
@@ -111,7 +111,7 @@
     fleet.put(records.machine_key("a", "vm-1"), MachineRecord("small", False, "10.1.0.1:9000"))
     fleet.news(list(fleet.state.entries))
     fleet.report(1, 1, 0)
-    fleet.report(1, 2, fleet.part.token(fleet.part.machines["vm-1"]))
+    fleet.report(1, 2, fleet.partition.token(fleet.partition.machines["vm-1"]))
     for ref, image, at in (("job-1", "rare", 0.0), ("job-2", "common", 1.0)):
         spec = submission(ref, 1)
         spec.image = image
@@ -128,9 +128,9 @@
     The first in line took whatever machine became free.
     """
     fleet, placer = warm_fleet(), Placer()
-    first = placer.run(fleet.part, fleet.view, 2.0, lambda: False, 100)
+    first = placer.run(fleet.partition, fleet.view, 2.0, lambda: False, 100)
     assert [where.job for where in first.entries] == ["job-2"]
-    late = placer.run(fleet.part, fleet.view, 2.0 + 11.0, lambda: False, 100)  # a fetch takes 10 s
+    late = placer.run(fleet.partition, fleet.view, 2.0 + 11.0, lambda: False, 100)  # a fetch takes 10 s
     assert [where.job for where in late.entries] == ["job-1"]
 
 
@@ -140,7 +140,7 @@
     A round that comes meanwhile must not give their room to a replica.
     """
     fleet, placer = warm_fleet(), Placer()
-    first = placer.run(fleet.part, fleet.view, 2.0, lambda: False, 100)
+    first = placer.run(fleet.partition, fleet.view, 2.0, lambda: False, 100)
     assert [where.job for where in first.entries] == ["job-2"]
     spec = submission("job-3", 1)
     spec.kind = wire.SERVICE
@@ -148,9 +148,9 @@
     fleet.put(str(AllocationKey("a", "job-3", 0)), AllocationRecord([TaskEntry(0)]))
     fleet.news([f"{records.JOB}job-3", str(AllocationKey("a", "job-3", 0))])
     placer.pending = first.entries
-    assert not placer.run(fleet.part, fleet.view, 2.0 + 11.0, lambda: False, 100).entries
+    assert not placer.run(fleet.partition, fleet.view, 2.0 + 11.0, lambda: False, 100).entries
     placer.pending = {}
-    assert placer.run(fleet.part, fleet.view, 2.0 + 11.5, lambda: False, 100).entries
+    assert placer.run(fleet.partition, fleet.view, 2.0 + 11.5, lambda: False, 100).entries
 
 
 def test_when_all_can_not_be_done_a_few_large_jobs_are_late_and_not_many_small_ones() -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -149,7 +149,7 @@
     assert reachability.cancelled == {
         "job-p": 119.1,
         "job-q": 118.1,
-    }  # passed on by who does not reachability the service, too
+    }  # passed on by who does not reach the service, too
     assert reachability.parts == {"a": ("p", 9)}
     reachability.settle(118.5)  # a read of our own holds what was told before it, and no more
     assert reachability.cancelled == {"job-p": 119.1}
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -31,22 +31,22 @@
     fleet.put(str(AllocationKey("a", "job-9001", 0)), AllocationRecord([TaskEntry(n) for n in range(100)]))
     fleet.put(f"{records.JOB}job-9002", JobRecord(submission("job-9002", 100), 1.0))
     fleet.news([str(AllocationKey("a", "job-9001", 0))])
-    placed = Placer().run(fleet.part, fleet.view, 2.0, lambda: False, 200)
+    placed = Placer().run(fleet.partition, fleet.view, 2.0, lambda: False, 200)
     assert sum(map(len, placed.entries.values())) == 100
     plan = Admission(fleet.view, 2.0).run(None, lambda: False, 24)
     assert sum(len(grant.entries) for grant in plan.grants if grant.job == "job-9002") == 100
-    refine(fleet.part, fleet.view, Tuning(), 2.0, Random(1), lambda: False)
+    refine(fleet.partition, fleet.view, Tuning(), 2.0, Random(1), lambda: False)
 
 
 def test_the_cost_of_an_end_and_of_an_owner_s_records_is_that_of_a_small_fleet() -> None:
     costs = []
     for machines in (400, MACHINES):
         fleet = Fleet(machines)
-        token = fleet.part.token(fleet.part.machines["vm-7"])
+        token = fleet.partition.token(fleet.partition.machines["vm-7"])
         ended = fleet.wire_report(7, 3, token)
         ended.tasks[0] = msgspec.structs.replace(ended.tasks[0], state="ended", why="done")
-        report = calls(lambda f=fleet, r=ended: f.part.on_report(r, 2.0))  # type: ignore[misc]
-        left = calls(lambda f=fleet: f.part.left_over(f.state))  # type: ignore[misc]
+        report = calls(lambda f=fleet, r=ended: f.partition.on_report(r, 2.0))  # type: ignore[misc]
+        left = calls(lambda f=fleet: f.partition.left_over(f.state))  # type: ignore[misc]
         costs.append((report, left))
     assert costs[0] == costs[1]
 
@@ -88,6 +88,6 @@
 def test_the_first_looks_of_a_successor_are_over_soon() -> None:
     """Records of 4,000 machines and as many jobs are taken in by a new owner; generous, but not without a bound."""
     fleet = Fleet(MACHINES)
-    assert len(fleet.part.machines) == MACHINES
-    work = calls(lambda: fleet.part.take_records(fleet.state, list(fleet.state.entries), 3.0))
+    assert len(fleet.partition.machines) == MACHINES
+    work = calls(lambda: fleet.partition.take_records(fleet.state, list(fleet.state.entries), 3.0))
     assert work <= 120 * MACHINES
--- a/tests/test_releasing.py
+++ b/tests/test_releasing.py
@@ -23,9 +23,9 @@
 
 def _returns(**parts: Any) -> MachineReleaser:
     unused: Any = None
-    given = {"can": SimpleNamespace(reachability=None), "held": {}, "replica": None, "cloud": None, **parts}
+    given = {"can": SimpleNamespace(reachability=None), "owned": {}, "replica": None, "cloud": None, **parts}
     fixed = (given["replica"], unused, unused, given["cloud"], given["can"])
-    return MachineReleaser(*fixed, unused, unused, unused, given["held"])
+    return MachineReleaser(*fixed, unused, unused, unused, given["owned"])
 
 
 def test_a_machine_left_out_of_a_return_is_of_use_again() -> None:
@@ -34,7 +34,7 @@
     It stayed marked as being returned for ever on the former code, so nobody used it, and nobody returned it.
     """
     fleet = Fleet(3)
-    machines = [fleet.part.machines["vm-0"], fleet.part.machines["vm-1"]]
+    machines = [fleet.partition.machines["vm-0"], fleet.partition.machines["vm-1"]]
     runs = [dict(machine.runs) for machine in machines]
     released: list[str] = []
     for machine in machines:
@@ -58,8 +58,8 @@
     replica, cloud = SimpleNamespace(sync=sync), SimpleNamespace(release=release)
     returns = _returns(can=can, replica=replica, cloud=cloud)
     returns._close = close  # type: ignore[method-assign, assignment]
-    held: Any = SimpleNamespace(part=fleet.part, bell=SimpleNamespace(set=ring))
-    curio.run(returns._return, held, machines)
+    owned: Any = SimpleNamespace(partition=fleet.partition, wakeup=SimpleNamespace(set=ring))
+    curio.run(returns._return, owned, machines)
     assert released == ["vm-0"]
     assert [machine.standing for machine in machines] == [Standing.GONE, Standing.KNOWN]
     assert not machines[1].returning
@@ -67,9 +67,9 @@
 
 
 def _stop_cancelled(fleet: Fleet, now: float) -> None:
-    fleet.part.cancelled_ago = lambda job: now - 20.0 if job in ("job-0", "job-1") else None
+    fleet.partition.cancelled_ago = lambda job: now - 20.0 if job in ("job-0", "job-1") else None
     for job in ("job-0", "job-1", "job-2"):  # the last is stopped for another reason
-        fleet.part.stop_job(job, now)
+        fleet.partition.stop_job(job, now)
 
 
 @pytest.mark.parametrize(("cut", "first"), [(False, 32.0), (True, 44.0)])
@@ -77,49 +77,51 @@
     """Long before the 30 s are over, counted from the cancellation and not from when we heard of it."""
     fleet = Fleet(4)
     _stop_cancelled(fleet, 25.0)  # cancelled at 20
-    assert not overdue_machines(fleet.part, WORKERS, first - 0.1, cut)
-    assert [m.name for m in overdue_machines(fleet.part, WORKERS, first + 0.1, cut)] == ["vm-0", "vm-1"]
-    assert not overdue_machines(fleet.part, WORKERS, first + 0.1, cut, woke_at=first - 3.0)  # its own silence
+    assert not overdue_machines(fleet.partition, WORKERS, first - 0.1, cut)
+    assert [m.name for m in overdue_machines(fleet.partition, WORKERS, first + 0.1, cut)] == ["vm-0", "vm-1"]
+    assert not overdue_machines(fleet.partition, WORKERS, first + 0.1, cut, woke_at=first - 3.0)  # its own silence
 
 
 def test_a_machine_that_fell_silent_with_a_cancelled_task_stays_overdue() -> None:
     """Its lease has run out, which frees its tasks; but a machine that hangs has not ended them."""
     fleet = Fleet(3)
     _stop_cancelled(fleet, 25.0)
-    fleet.report(2, 9, fleet.part.token(fleet.part.machines["vm-2"]))
-    fleet.part.tick(26.0)
-    assert fleet.part.machines["vm-0"].standing is Standing.LOST
-    assert [m.name for m in overdue_machines(fleet.part, WORKERS, 40.0, False)] == ["vm-0", "vm-1"]
-    token = fleet.part.token(fleet.part.machines["vm-0"])
+    fleet.report(2, 9, fleet.partition.token(fleet.partition.machines["vm-2"]))
+    fleet.partition.tick(26.0)
+    assert fleet.partition.machines["vm-0"].standing is Standing.LOST
+    assert [m.name for m in overdue_machines(fleet.partition, WORKERS, 40.0, False)] == ["vm-0", "vm-1"]
+    token = fleet.partition.token(fleet.partition.machines["vm-0"])
     report = wire.Report("vm-0", "10.1.0.1:9000", "big", "a", 2, 30, token, [])
-    assert fleet.part.on_report(report, 41.0) is not None  # it goes on in its next session
-    assert [m.name for m in overdue_machines(fleet.part, WORKERS, 42.0, False)] == ["vm-1"]
+    assert fleet.partition.on_report(report, 41.0) is not None  # it goes on in its next session
+    assert [m.name for m in overdue_machines(fleet.partition, WORKERS, 42.0, False)] == ["vm-1"]
 
 
 def test_a_machine_put_on_record_after_its_return_is_gone_at_once() -> None:
     fleet = Fleet(2)
     key = records.machine_key("a", "vm-9")
-    fleet.part.returned("vm-9")
+    fleet.partition.returned("vm-9")
     fleet.put(key, MachineRecord("big", False, "10.1.0.9:9000"))
     fleet.news([key])
-    assert fleet.part.machines["vm-9"].standing is Standing.GONE
+    assert fleet.partition.machines["vm-9"].standing is Standing.GONE
 
 
 def test_before_the_records_are_read_only_cancelled_tasks_are_stopped() -> None:
     fleet = Fleet(3)
-    fleet.part.ready = False
-    fleet.part.cancelled_ago = lambda job: 1.0 if job == "job-0" else None
-    answers = [fleet.report(i, 5, fleet.part.token(fleet.part.machines[f"vm-{i}"])) for i in (0, 1)]
+    fleet.partition.ready = False
+    fleet.partition.cancelled_ago = lambda job: 1.0 if job == "job-0" else None
+    answers = [fleet.report(i, 5, fleet.partition.token(fleet.partition.machines[f"vm-{i}"])) for i in (0, 1)]
     assert answers == [[wire.Command(wire.STOP, f"job-0/{n}", 1, 0.0) for n in range(4)], []]
 
 
 def test_the_next_holder_is_told_of_machines_that_are_gone_though_on_record() -> None:
     fleet = Fleet(3)
-    returns = _returns(replica=SimpleNamespace(state=fleet.state), held={"a": SimpleNamespace(part=fleet.part)})
+    returns = _returns(
+        replica=SimpleNamespace(state=fleet.state), owned={"a": SimpleNamespace(partition=fleet.partition)}
+    )
     returns._remember_returned({"vm-1": "a", "vm-7": "a"})
     told = returns.unrecorded()
     assert told == ["vm-1"]  # the record of vm-7 is gone
     returns.hear("n1", {}, told)
-    assert fleet.part.machines["vm-1"].standing is Standing.GONE
-    assert fleet.part.machines["vm-0"].standing is Standing.KNOWN
-    assert len(fleet.part.over) == 1  # its tasks may start elsewhere
+    assert fleet.partition.machines["vm-1"].standing is Standing.GONE
+    assert fleet.partition.machines["vm-0"].standing is Standing.KNOWN
+    assert len(fleet.partition.over) == 1  # its tasks may start elsewhere
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -53,22 +53,22 @@
 
 
 class Fleet:
-    """A part with machines that all run tasks of one job each, as its holder and everybody's view see it."""
+    """A part with machines that all run tasks of one job each, as its owner and everybody's view see it."""
 
     def __init__(self, machines: int) -> None:
         self.state = State()
         self.view = FleetView(self.state, [Team("t")])
         self.view.set_offers([wire.MachineType("big", 32.0, 0.0, 128.0, 1.0, 0.5, 30.0, ["a"])])
-        self.part = Partition("a", 1, 10.0, 0.0, lambda job: 0)
+        self.partition = Partition("a", 1, 10.0, 0.0, lambda job: 0)
         for i in range(machines):
             self.put(records.machine_key("a", f"vm-{i}"), MachineRecord("big", False, "10.1.0.1:9000"))
             self.put(f"{records.JOB}job-{i}", JobRecord(submission(f"job-{i}", 4), 0.0))
             self.put(str(AllocationKey("a", f"job-{i}", 0)), self.allot(i, records.ASSIGNED))
-        self.part.ready = True
+        self.partition.ready = True
         self.news(list(self.state.entries))
         for i in range(machines):
             self.report(i, 1, 0)
-            self.report(i, 2, self.part.token(self.part.machines[f"vm-{i}"]))
+            self.report(i, 2, self.partition.token(self.partition.machines[f"vm-{i}"]))
 
     @staticmethod
     def allot(i: int, last: int) -> AllocationRecord:
@@ -84,7 +84,7 @@
     def news(self, keys: list[str]) -> None:
         """Has the tables follow changed records."""
         self.view.update()
-        self.part.take_records(self.state, keys, 1.0)
+        self.partition.take_records(self.state, keys, 1.0)
 
     @staticmethod
     def wire_report(i: int, seq: int, token: int) -> wire.Report:
@@ -94,7 +94,7 @@
 
     def report(self, i: int, seq: int, token: int) -> object:
         """Takes such a report in."""
-        return self.part.on_report(self.wire_report(i, seq, token), 1.0 + seq / 10)
+        return self.partition.on_report(self.wire_report(i, seq, token), 1.0 + seq / 10)
 
 
 def test_a_report_and_a_change_cost_the_same_in_a_large_fleet() -> None:
@@ -102,12 +102,12 @@
     costs = []
     for machines in (20, 400, 4000):
         fleet = Fleet(machines)
-        token = fleet.part.token(fleet.part.machines["vm-3"])
+        token = fleet.partition.token(fleet.partition.machines["vm-3"])
         report = calls(lambda f=fleet, t=token: f.report(3, 3, t))  # type: ignore[misc]
         key = str(AllocationKey("a", "job-3", 0))
         fleet.put(key, Fleet.allot(3, records.ENDED))
         change = calls(lambda f=fleet, k=key: f.news([k]))  # type: ignore[misc]
-        ends = calls(lambda f=fleet: f.part.ends(f.state, 0.0))  # type: ignore[misc]
+        ends = calls(lambda f=fleet: f.partition.ends(f.state, 0.0))  # type: ignore[misc]
         costs.append((report, change, ends))
     assert costs[0] == costs[1] == costs[2]
 
@@ -159,7 +159,7 @@
             fleet.put(key, AllocationRecord([TaskEntry(n) for n in range(5)]))
             fleet.news([key])
         looks = 0
-        Placer().run(fleet.part, fleet.view, 2.0, lambda: False, 100)
+        Placer().run(fleet.partition, fleet.view, 2.0, lambda: False, 100)
         seen.append(looks)
     assert seen[0] == seen[1] == 50
 
@@ -173,19 +173,19 @@
         key = str(AllocationKey("a", "job-0", 0))
         fleet.put(key, AllocationRecord(entries))
         fleet.news([key])
-        for run in list(fleet.part.runs.values())[:ended]:
-            fleet.part.step(run, Phase.EXITED, wire.WHY_DONE)
-        assert fleet.part.ends(fleet.state, 3.0) == {}
-        costs.append(calls(lambda f=fleet: f.part.ends(f.state, 3.0)))  # type: ignore[misc]
+        for run in list(fleet.partition.runs.values())[:ended]:
+            fleet.partition.step(run, Phase.EXITED, wire.WHY_DONE)
+        assert fleet.partition.ends(fleet.state, 3.0) == {}
+        costs.append(calls(lambda f=fleet: f.partition.ends(f.state, 3.0)))  # type: ignore[misc]
     assert costs[0] == costs[1]
 
 
 def test_a_report_that_shows_what_the_last_one_did_is_not_gone_through_again() -> None:
     fleet = Fleet(1)
-    token = fleet.part.token(fleet.part.machines["vm-0"])
+    token = fleet.partition.token(fleet.partition.machines["vm-0"])
     seen: list[str] = []
-    observe = fleet.part._observe_task
-    fleet.part._observe_task = lambda machine, task, now: seen.append(task.task) or observe(machine, task, now)  # type: ignore
+    observe = fleet.partition._observe_task
+    fleet.partition._observe_task = lambda machine, task, now: seen.append(task.task) or observe(machine, task, now)  # type: ignore
     for seq in (3, 4, 5):
         fleet.report(0, seq, token)
     assert seen == []
@@ -199,25 +199,27 @@
 def test_a_report_is_occasion_for_a_round_only_if_a_task_left_or_a_machine_became_known() -> None:
     """While ends waited to be gathered, every report of any machine led to a round: 25 a second in a large partition."""
     fleet = Fleet(3)
-    token = fleet.part.token(fleet.part.machines["vm-1"])
-    before = fleet.part.occasions
+    token = fleet.partition.token(fleet.partition.machines["vm-1"])
+    before = fleet.partition.occasions
     fleet.report(1, 3, token)
-    assert fleet.part.occasions == before
+    assert fleet.partition.occasions == before
     ended = fleet.wire_report(1, 4, token)
     ended.tasks[0] = wire.TaskReport("job-1/0", 1, "ended", "done")
-    fleet.part.on_report(ended, 2.0)
-    assert fleet.part.occasions == before + 1
-    fleet.part.on_report(wire.Report("vm-1", "10.1.0.1:9000", "big", "a", 1, 5, token, ended.tasks), 2.1)
-    fleet.report(2, 3, fleet.part.token(fleet.part.machines["vm-2"]))
-    assert fleet.part.over
-    assert fleet.part.occasions == before + 1
+    fleet.partition.on_report(ended, 2.0)
+    assert fleet.partition.occasions == before + 1
+    fleet.partition.on_report(wire.Report("vm-1", "10.1.0.1:9000", "big", "a", 1, 5, token, ended.tasks), 2.1)
+    fleet.report(2, 3, fleet.partition.token(fleet.partition.machines["vm-2"]))
+    assert fleet.partition.over
+    assert fleet.partition.occasions == before + 1
     fresh = wire.Report("vm-9", "10.1.0.9:9000", "big", "a", 1, 1, 0, [])
-    fleet.part.on_report(fresh, 2.2)
-    fleet.part.on_report(wire.Report("vm-9", "10.1.0.9:9000", "big", "a", 1, 2, fleet.part.base + 99, []), 2.3)
-    assert fleet.part.occasions == before + 1  # a token that it was never given
-    shown = fleet.part.token(fleet.part.machines["vm-9"])
-    fleet.part.on_report(wire.Report("vm-9", "10.1.0.9:9000", "big", "a", 1, 3, shown, []), 2.4)
-    assert fleet.part.occasions == before + 2
+    fleet.partition.on_report(fresh, 2.2)
+    fleet.partition.on_report(
+        wire.Report("vm-9", "10.1.0.9:9000", "big", "a", 1, 2, fleet.partition.base + 99, []), 2.3
+    )
+    assert fleet.partition.occasions == before + 1  # a token that it was never given
+    shown = fleet.partition.token(fleet.partition.machines["vm-9"])
+    fleet.partition.on_report(wire.Report("vm-9", "10.1.0.9:9000", "big", "a", 1, 3, shown, []), 2.4)
+    assert fleet.partition.occasions == before + 2
 
 
 def room(index: int, cpus: float, free: float, images: frozenset[int]) -> Room:
@@ -257,8 +259,8 @@
         fleet.put(key, AllocationRecord([TaskEntry(index) for index in range(tasks)]))
         fleet.news([key])
         placer = Placer()
-        placer.run(fleet.part, fleet.view, 1.0, lambda: False, 200)
-        costs.append(calls(lambda f=fleet, p=placer: p.run(f.part, f.view, 9.0, lambda: False, 200)))  # type: ignore[misc]
+        placer.run(fleet.partition, fleet.view, 1.0, lambda: False, 200)
+        costs.append(calls(lambda f=fleet, p=placer: p.run(f.partition, f.view, 9.0, lambda: False, 200)))  # type: ignore[misc]
     assert (costs[1] - costs[0]) / 1000 <= 6
 
 
@@ -307,7 +309,7 @@
 
 
 def test_an_entry_changes_only_from_what_the_change_was_decided_for() -> None:
-    """Between a decision and its transaction, the leader may have moved a task, or a holder recorded its end."""
+    """Between a decision and its transaction, the leader may have moved a task, or an owner recorded its end."""
     record = AllocationRecord([TaskEntry(0, records.FREE, 1), TaskEntry(1, records.ASSIGNED, 2, "vm-1", 1)])
     start = TaskEntry(0, records.ASSIGNED, 2, "vm-1", 1)
     end = TaskEntry(1, records.ENDED, 2)
@@ -366,9 +368,9 @@
     st.fixed_dictionaries({n: st.floats(0, 2) for n in NODES}), st.sets(st.sampled_from(NODES)),
 )  # fmt: skip
 def test_shares_add_up_to_one_however_they_are_lent(
-    holders: list[str], leader: str | None, used: dict[str, float], hungry: set[str]
+    owners: list[str], leader: str | None, used: dict[str, float], hungry: set[str]
 ) -> None:
-    shares = rate_shares(NODES, holders, leader)
+    shares = rate_shares(NODES, owners, leader)
     for kind in (0, 1):
         assert abs(sum(s[kind] for s in shares.values()) - 1.0) < 1e-9
     writes = {n: s[1] for n, s in shares.items()}
--- a/tests/test_standing_still.py
+++ b/tests/test_standing_still.py
@@ -31,8 +31,8 @@
     woke = 60.0  # the machines were last heard 58 s before
 
     def found(now: float, woke_at: float) -> int:
-        cut = cut_off(fleet.part, WORKERS, now, woke_at)
-        return cut + len(silent_machines(fleet.part, Tuning(), WORKERS, 15.0, now, cut, woke_at))
+        cut = cut_off(fleet.partition, WORKERS, now, woke_at)
+        return cut + len(silent_machines(fleet.partition, Tuning(), WORKERS, 15.0, now, cut, woke_at))
 
     assert found(woke, 0.0)
     assert not found(woke, woke)
@@ -42,12 +42,12 @@
 
 def test_a_holder_that_may_have_been_deposed_gives_no_commands() -> None:
     fleet = Fleet(1)
-    machine = fleet.part.machines["vm-0"]
-    fleet.part.stop_job("job-0", 0.0)
-    report = fleet.wire_report(0, 3, fleet.part.token(machine))
-    assert fleet.part.on_report(report, 2.0, commanding=False) == []
-    report = fleet.wire_report(0, 4, fleet.part.token(machine))
-    assert fleet.part.on_report(report, 3.0)
+    machine = fleet.partition.machines["vm-0"]
+    fleet.partition.stop_job("job-0", 0.0)
+    report = fleet.wire_report(0, 3, fleet.partition.token(machine))
+    assert fleet.partition.on_report(report, 2.0, commanding=False) == []
+    report = fleet.wire_report(0, 4, fleet.partition.token(machine))
+    assert fleet.partition.on_report(report, 3.0)
 
 
 @pytest.mark.parametrize(("sockets", "machines"), [(800, 60), (1339, 906), (2049, 933)])
@@ -62,28 +62,28 @@
     """37 healthy machines with tasks were, on the apart day, before most of the part had been silent for long enough."""
     fleet = Fleet(10)
     workers = Workers(3.0, 18.0, 48.0)
-    for i, machine in enumerate(fleet.part.machines.values()):
+    for i, machine in enumerate(fleet.partition.machines.values()):
         machine.heard_at = 100.0 - 0.3 * i  # the cut begins at 100
 
     def returned(now: float) -> int:
-        cut = cut_off(fleet.part, workers, now)
-        return len(silent_machines(fleet.part, Tuning(), workers, 26.0, now, cut))
+        cut = cut_off(fleet.partition, workers, now)
+        return len(silent_machines(fleet.partition, Tuning(), workers, 26.0, now, cut))
 
     assert not any(returned(100.0 + n / 4) for n in range(60))
-    fleet.part.machines["vm-9"].heard_at = 90.0
-    for machine in list(fleet.part.machines.values())[:9]:
+    fleet.partition.machines["vm-9"].heard_at = 90.0
+    for machine in list(fleet.partition.machines.values())[:9]:
         machine.heard_at = 100.0
     assert returned(101.0) == 1  # one alone is silent
 
 
 def test_a_machine_heard_once_does_not_stand_for_a_zone_that_nobody_hears() -> None:
-    """A new holder that had heard one machine of a zone that is cut off took none of the others for silent.
+    """A new owner that had heard one machine of a zone that is cut off took none of the others for silent.
 
     Its part and the leader passed hundreds of replicas to and fro, at four changes each, until no array could start.
     """
     fleet = Fleet(10)
-    for i, machine in enumerate(fleet.part.machines.values()):
+    for i, machine in enumerate(fleet.partition.machines.values()):
         if i:
             machine.standing, machine.heard_at = Standing.UNKNOWN, None
-    assert not cut_off(fleet.part, WORKERS, 6.0)  # the others may still be on their way to a new holder
-    assert cut_off(fleet.part, WORKERS, 30.0)
+    assert not cut_off(fleet.partition, WORKERS, 6.0)  # the others may still be on their way to a new owner
+    assert cut_off(fleet.partition, WORKERS, 30.0)
