--- a/tests/sim/measure_recovery.py
+++ b/tests/sim/measure_recovery.py
@@ -8,6 +8,7 @@
 
 import argparse
 import json
+import resource
 import tempfile
 import time
 from collections.abc import Callable
@@ -122,6 +123,12 @@
     changes: int  # of the state service, to write the picture
     archive_bytes: int
     snapshot_s: float
+    peak_mb: float  # of this process, with five copies
+
+
+def peak_mb() -> float:
+    """The most memory that this process has held."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
 
 
 def merge_cost(machines: int, finals: int, directory: Path) -> MergeCost:
@@ -143,7 +150,7 @@
         point.apply(Entry(record.version, record.key, record.value))
     began = time.perf_counter()
     path = write_snapshot(directory, point)
-    return MergeCost(machines, finals, merge_s, changes, path.stat().st_size, time.perf_counter() - began)
+    return MergeCost(machines, finals, merge_s, changes, path.stat().st_size, time.perf_counter() - began, peak_mb())
 
 
 def log_cost(directory: Path) -> dict[str, float]:
--- a/tests/sim/recovery.py
+++ b/tests/sim/recovery.py
@@ -11,7 +11,7 @@
 from spurarch.archive import commands
 from spurarch.coordination.controller import Controller
 from spurarch.recovery.launch import controller_with_recovery
-from spurarch.recovery.operators import declare_first_history
+from spurarch.recovery.operators import declare_first_history, settle_job
 from spurarch.recovery.service import RecoveryService
 from spurarch.storage import records
 from spurarch.storage.history import HISTORY
@@ -125,6 +125,10 @@
                 del self.store.keys[key]
         elif action == "repeat-all":  # every transaction so far arrives once more
             self.store.repeat_all(HISTORY)
+        elif action == "settle":  # settle JOB STATE, as an operator
+            network = SimNetwork(self.wire, "operator")
+            store = Store(network.client(STATE, 1), self.platform(0).deployment.state, 1)
+            await settle_job(store, args[0], args[1])
         elif action == "stop-archiver":
             await self.stop_archiver()
         elif action == "start-archiver":
@@ -147,7 +151,9 @@
             starts = self.world.rules.starts
             return sum(n for task, n in starts.items() if task.startswith(args[0] + "/")) == int(args[1])
         if kind == "on-record":  # on-record JOB STATE: in the newest history
-            return self.final(args[0]) == args[1]
+            return self.final(args[0]) == " ".join(args[1:])
+        if kind == "never-told":  # never-told JOB STATE
+            return args[1] not in self.told.get(args[0], [])
         return super()._holds(words)
 
     def final(self, job: str) -> str:
--- a/tests/test_archive.py
+++ b/tests/test_archive.py
@@ -204,6 +204,9 @@
         assert "block 0" in error
         assert error.count("\n") == 1
     assert main(["archive", "verify", "--directory", str(tmp_path / "none")]) == 2
+    (where / "log-0000000000000099.avro").write_bytes(b"")
+    assert main(["archive", "list", "--directory", str(root)]) == 2
+    assert "log-0000000000000099.avro: no readable header" in capsys.readouterr().err.splitlines()[-1]
     assert main(["archive", "verify", "--directory", str(root), "--history", "zz"]) == 2
 
 
--- a/tests/test_merge.py
+++ b/tests/test_merge.py
@@ -10,6 +10,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from spurarch.protocol import wire
 from spurarch.protocol.recovery_messages import StoredRecord
@@ -361,3 +362,63 @@
     assert {i: e.state for i, e in entries(twice, "job-1").items()} == {
         i: e.state for i, e in entries(once, "job-1").items()
     }
+
+
+class Rebuilding(RuleBasedStateMachine):
+    """Changes, copies, reports and merges in any order: a picture never takes back what an earlier one was sure of."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.timeline = Timeline(7)
+        self.evidence = Evidence([], {}, True)
+        self.finals: dict[str, FinalRecord] = {}
+        self.ended: set[tuple[str, int]] = set()
+
+    @rule(steps=st.integers(1, 12))
+    def change(self, steps: int) -> None:
+        """The history goes on."""
+        for _ in range(steps):
+            self.timeline.step()
+
+    @rule(seed=st.integers(0, 1000))
+    def shuffle(self, seed: int) -> None:
+        """Other random choices from here on."""
+        self.timeline.random.seed(seed)
+
+    @rule(kind=st.sampled_from([SourceKind.REPLICA, SourceKind.ARCHIVE]), back=st.integers(0, 20))
+    def copy(self, kind: SourceKind, back: int) -> None:
+        """A copy comes to hand, perhaps an old one."""
+        revision = max(0, self.timeline.revision - back)
+        self.evidence.sources.append(self.timeline.copy(kind, f"{kind.value}{len(self.evidence.sources)}", revision))
+
+    @rule()
+    def hear(self) -> None:
+        """Workers report, and then nothing changes any more: reports count only in a sealed history."""
+        for one in self.timeline.worker_reports():
+            self.evidence.take_report(one)
+
+    @rule()
+    def merge(self) -> None:
+        """The picture of the moment."""
+        picture = merge(self.evidence, CHUNK)
+        assert plain(merge(self.evidence, CHUNK)) == plain(picture)
+        for job, final in picture.finals.items():
+            if final.state != IN_DOUBT:
+                assert self.finals.setdefault(job, final) == final
+        for job, final in self.finals.items():
+            assert picture.finals[job] == final
+        for job in picture.jobs:
+            assert job not in picture.finals
+            states = entries(picture, job)
+            assert sorted(states) == list(range(len(states)))
+            assert all(entry.machine for entry in states.values() if entry.state == ASSIGNED)
+
+    @invariant()
+    def true_finals_only(self) -> None:
+        """No final standing is made up."""
+        for job, final in self.finals.items():
+            assert self.timeline.keys[records.FINAL + job][1] == final
+
+
+TestRebuilding = Rebuilding.TestCase
+TestRebuilding.settings = settings(max_examples=60, stateful_step_count=25, deadline=None, derandomize=True)
