A rebuilt history begins with records that share values, unpacked when they are first changed

Need: a rebuilding wrote two or three changes for each unfinished job; at 4,000 machines that is over a minute at 100 changes a second, longer than workers may be answered while the records are closed. Change: above two seconds of changes, records that are alive go into values of up to a transaction's worth. The first change of one of them writes all records of its value under their own keys, in one transaction that deletes the value.

--- a/spurarch/archive/follower.py
+++ b/spurarch/archive/follower.py
@@ -26,6 +26,7 @@
     CURRENT,
     HISTORY,
     OPEN,
+    PACKED,
     UNARCHIVED,
     ArchivedRecord,
     HistoryRecord,
@@ -33,6 +34,8 @@
     decode_history,
 )
 from spurarch.storage.limits import Urgency
+from spurarch.storage.records import FINAL, LIVE
+from spurarch.storage.seeds import SEED
 from spurarch.storage.store import RevisionTooOldError, Store, StoreUnavailableError, Verdict
 
 log = logging.getLogger(__name__)
@@ -43,7 +46,7 @@
 RIVAL_LOOK_S = 1.5  # another archiver that publishes within this is at work
 AGAIN_S = 0.5
 SNAPSHOT_LOG_BYTES = 8 << 20  # of changes, after which a new snapshot begins
-PREFIXES = ("live/", "final/", "packed/")
+PREFIXES = (LIVE, FINAL, PACKED, SEED)
 
 
 class FollowerPhase(enum.Enum):
--- a/spurarch/recovery/copies.py
+++ b/spurarch/recovery/copies.py
@@ -13,6 +13,7 @@
 from spurarch.storage import records
 from spurarch.storage.history import PACKED, HistoryRecord
 from spurarch.storage.replica import State
+from spurarch.storage.seeds import SEED
 from spurarch.storage.store import Store
 from spurarch.transport.http import NoAnswerError
 from spurarch.transport.network import Calls, Requests
@@ -144,7 +145,7 @@
 async def remaining_source(store: Store, history: HistoryRecord) -> Source:
     """What the state service still holds of a history, whose marker must be gone."""
     source = Source(SourceKind.REMAINS, "state service", 0, 0)
-    for prefix in (records.LIVE, records.FINAL, PACKED):
+    for prefix in (records.LIVE, records.FINAL, PACKED, SEED):
         after: str | None = None
         while True:
             page = await store.page(history.prefix + prefix, after)
--- a/spurarch/recovery/evidence.py
+++ b/spurarch/recovery/evidence.py
@@ -12,6 +12,7 @@
 from spurarch.storage import records
 from spurarch.storage.history import PACKED, decode_packed
 from spurarch.storage.records import FinalRecord, Record
+from spurarch.storage.seeds import SEED, SEED_VERSION, decode_seed
 
 
 class SourceKind(enum.Enum):
@@ -54,6 +55,10 @@
                 for job, final in decode_packed(stored.value).jobs.items():
                     self.finals.setdefault(job, FinalRecord(*final))
                 return
+            if stored.key.startswith(SEED):
+                for seed in decode_seed(stored.value).records:
+                    self.take(StoredRecord(seed.key, SEED_VERSION, bytes(seed.value)))
+                return
             record = records.decode(stored.key, stored.value)
         except msgspec.DecodeError:
             self.unreadable += 1
--- a/spurarch/recovery/rebuild.py
+++ b/spurarch/recovery/rebuild.py
@@ -38,6 +38,7 @@
     packed_key,
 )
 from spurarch.storage.records import IN_DOUBT, FinalRecord, LeaderRecord, MemberRecord, PartitionRecord
+from spurarch.storage.seeds import SEED, SeedRecord, pack
 from spurarch.storage.store import Store
 from spurarch.transport.network import Calls, Requests
 
@@ -48,6 +49,7 @@
 ARCHIVE_WAIT_S = 30.0  # for an archive, where not every controller lived on
 OPEN_AFTER_LEAST_S = VERIFY_AFTER_S + 1.0  # so that no reader's gap can span the old history and a grown new one
 REPORTS_WAITED = 3.0  # intervals of reports, where only knowledge can be gained by waiting
+SEEDED_ABOVE_S = 2.0  # of changes at the published rate: more records than that share values
 EPOCHS_UNSEEN = 1 << 16  # changes of owners that may have happened without a trace
 EPOCHS_MOST = 1 << 27
 BOUND_DRIFT, BOUND_MARGIN_S = 1.001, 1.0
@@ -340,9 +342,11 @@
             self._name, lost.number + 1, self._epoch, len(packed), picture.uncertain, lost.name, lost.archived_answers,
             lost.installation,
         )  # fmt: skip
-        puts: list[wire.Put] = []
-        for key, value in self._records_of(picture, packed):
-            puts.append(wire.Put(history.prefix + key, value))
+        contents = dict(self._records_of(picture, packed))
+        if len(contents) > SEEDED_ABOVE_S * self._around.deployment.state.write_rps:
+            contents = self._seeded(contents)
+            history.seeded = True
+        puts = [wire.Put(history.prefix + key, value) for key, value in contents.items()]
         for batch in self._batches(puts):
             await self._commit(list(batch))
         opening: list[wire.Put | wire.Delete] = [
@@ -372,6 +376,17 @@
         for zone in self._around.deployment.zones:
             yield records.PART + zone, PartitionRecord("", self._epoch)
 
+    def _seeded(self, contents: dict[str, object]) -> dict[str, object]:
+        """The same with records that are alive many in one value; partitions change hands at once, and keep their own."""
+        shared = [key for key in contents if key.startswith(records.LIVE) and not key.startswith(records.PART)]
+        seeds = [SeedRecord(key, msgspec.Raw(wire.encode(contents[key]))) for key in shared]
+        state = self._around.deployment.state
+        seeded = set(shared)
+        out = {key: value for key, value in contents.items() if key not in seeded}
+        for number, found in enumerate(pack(seeds, state.transaction_changes, state.value_bytes)):
+            out[f"{SEED}{number}"] = found
+        return out
+
     def _pack(self, finals: dict[str, FinalRecord]) -> list[dict[str, tuple[str, int]]]:
         """Final standings by the records that hold them, each within the limit on values."""
         certain = {job: final for job, final in finals.items() if final.state != IN_DOUBT}
--- a/spurarch/storage/history.py
+++ b/spurarch/storage/history.py
@@ -34,7 +34,7 @@
     """The history that is in force.
 
     `epoch` lies above every partition epoch that an earlier history can have given. `packed` is the number of records
-    that hold the final standings of earlier histories. While `uncertain`, jobs may have been accepted that nobody knows.
+    that hold the final standings of earlier histories. If `seeded`, it began with records that share values. While `uncertain`, jobs may have been accepted that nobody knows.
     `parent` is the history that this one was rebuilt from. In one with `archived_answers`, users are told that a job is
     accepted, cancelled or over only once the archive holds the record of it. `installation` is the operators' name for
     whose records these are.
@@ -48,6 +48,7 @@
     parent: str = ""
     archived_answers: bool = False
     installation: str = ""
+    seeded: bool = False
 
     @property
     def prefix(self) -> str:
--- a/spurarch/storage/replica.py
+++ b/spurarch/storage/replica.py
@@ -37,6 +37,7 @@
 
 if TYPE_CHECKING:
     from spurarch.storage.history import HistoryGuard
+    from spurarch.storage.seeds import PackedSeed, Seeds
 
 log = logging.getLogger(__name__)
 
@@ -196,6 +197,7 @@
         self.store = store
         self.state = State()
         self.loaded = False
+        self.seeds: Seeds | None = None  # only in a rebuilt history
         self.loaded_revision = 0  # since which the copy has missed no change
         self.reachable = True  # only to log an outage once
         self.synced_at = float("-inf")  # the copy held everything that had been changed before this moment
@@ -227,6 +229,8 @@
         after: str | None = None
         first: int | None = None
         seen: set[str] = set()
+        if self.store.history is not None and self.store.history.record.seeded:
+            first = await self._load_seeds(seen)
         while True:
             page = await self.store.page(records.LIVE, after)
             first = page.revision if first is None else first
@@ -244,6 +248,27 @@
         self.synced_at = max(self.synced_at, start)
         await self.ring()
 
+    async def _load_seeds(self, seen: set[str]) -> int:
+        """Reads the records that have no keys of their own yet; the revision of the first page."""
+        from spurarch.storage.seeds import SEED, SEED_VERSION, PackedSeed, Seeds, decode_seed
+
+        self.seeds = self.seeds or Seeds()
+        self.seeds.clear()
+        after: str | None = None
+        first: int | None = None
+        while True:
+            page = await self.store.page(SEED, after)
+            first = page.revision if first is None else first
+            for item in page.items:
+                packed = PackedSeed(item.key, item.version, decode_seed(item.value))
+                self.seeds.put(packed)
+                for record in packed.pack.records:
+                    seen.add(record.key)
+                    self._take(record.key, SEED_VERSION, record.value)
+            if not page.more or not page.items:
+                return first
+            after = page.items[-1].key
+
     def _take(self, key: str, version: int, value: msgspec.Raw) -> None:
         try:
             record = records.decode(key, value)
@@ -262,6 +287,8 @@
                 self._take(event.put, event.version, event.value)
             elif event.delete is not None:
                 self.state.drop(event.delete, event.version)
+                if self.seeds is not None:
+                    self.seeds.drop(event.delete)
             taken += 1
             if taken >= APPLY_AT_ONCE and following is not None and following.version != event.version:
                 # The first answer after a cut holds all that happened meanwhile: taken in one piece, it would hold up
@@ -365,6 +392,12 @@
         A lost answer is settled by sending the same transaction again: whichever copy of it is executed first makes
         the other fail. So this returns UNKNOWN only when `give_up_s` has passed.
         """
+        guards = list(guards)
+        if self.seeds is not None:
+            for packed in self.seeds.holding([*guards, *(write.key for write in writes)]):
+                outcome = await self._unpack(packed, urgency)
+                if outcome.verdict is not Verdict.DONE:
+                    return outcome
         versions = {key: self.state.version(key) for key in guards}
         versions.update((write.key, self.state.version(write.key)) for write in writes)
         versions.update((key, 0) for key in absent)
@@ -394,6 +427,23 @@
                 return Outcome(Verdict.UNKNOWN)
             await curio.sleep(0.1 if outcome.verdict is Verdict.UNKNOWN else 0.3)
 
+    async def _unpack(self, packed: PackedSeed, urgency: Urgency) -> Outcome:
+        """Writes the records of a value under their own keys; nobody else can have changed any of them meanwhile."""
+        assert self.seeds is not None
+        found = [record.key for record in packed.pack.records]
+        txn = wire.Txn(
+            [wire.Guard(packed.key, packed.version), *(wire.Guard(key, 0) for key in found)],
+            [*(wire.Put(record.key, record.value) for record in packed.pack.records), wire.Delete(packed.key)],
+        )
+        outcome = await self.store.txn(txn, urgency)
+        if outcome.verdict is Verdict.DONE:
+            self.seeds.drop(packed.key)
+            for record in packed.pack.records:
+                self._take(record.key, outcome.revision, record.value)
+        elif outcome.verdict is not Verdict.REFUSED:
+            await self.sync()  # another controller has unpacked it, or this one without an answer
+        return outcome
+
     def _check_conflict(self, history: HistoryGuard, sent: dict[str, int], failed: list[str]) -> None:
         """A copy brought up to date explains why a condition failed; if it doesn't, records were lost one by one."""
         for key in failed:
--- a/tests/test_recovery_scenarios.py
+++ b/tests/test_recovery_scenarios.py
@@ -6,9 +6,19 @@
 
 import pytest
 
+from spurarch.recovery import rebuild
+from spurarch.storage.limits import Urgency
+from spurarch.storage.replica import Replica
+from spurarch.storage.seeds import PackedSeed
+from spurarch.storage.store import Outcome
 from tests.sim.recovery import RecoveryPlay
 from tests.sim.scenario import Scenario
 
+# Those in which a rebuilt history goes on working, is lost again or taken over.
+SEEDED = {
+    "gang", "late-transactions", "lost-again-meanwhile", "rolled-back", "team-at-its-limit", "wiped", "wiped-all-restarted",
+    "wiped-one-ended", "worker-reports-late",
+}  # fmt: skip
 FILES = sorted((Path(__file__).parent / "scenarios" / "recovery").glob("*.txt"))
 PLAYS = [(path, values) for path in FILES for values in Scenario.variants(path)]
 
@@ -21,3 +31,27 @@
     play.run()
     assert play.problems == []
     assert play.world.rules.started > 0
+
+
+@pytest.mark.parametrize(
+    ("path", "values"),
+    [(path, values) for path, values in PLAYS if path.stem in SEEDED],
+    ids=["-".join([path.stem, *values.values()]) for path, values in PLAYS if path.stem in SEEDED],
+)
+def test_recovery_scenario_with_records_that_share_values(
+    path: Path, values: dict[str, str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """As a history of many records begins, whatever its size."""
+    monkeypatch.setattr(rebuild, "SEEDED_ABOVE_S", 0.0)
+    unpacked: list[str] = []
+    unpack = Replica._unpack
+
+    async def counted(self: Replica, packed: PackedSeed, urgency: Urgency) -> Outcome:
+        unpacked.append(packed.key)
+        return await unpack(self, packed, urgency)
+
+    monkeypatch.setattr(Replica, "_unpack", counted)
+    play = RecoveryPlay(Scenario.read(path, values))
+    play.run()
+    assert play.problems == []
+    assert unpacked
