--- a/spurarch/archive/follower.py
+++ b/spurarch/archive/follower.py
@@ -28,6 +28,7 @@
     OPEN,
     PACKED,
     UNARCHIVED,
+    VERIFY_AFTER_S,
     ArchivedRecord,
     HistoryRecord,
     decode_archived,
@@ -100,6 +101,7 @@
         self._revision = 0  # followed so far, with what is no record of the history
         self._published, self._publish_at = 0, 0.0
         self._marker_version = 0
+        self._verified_at = 0.0
 
     def _advance(self, phase: FollowerPhase) -> None:
         if phase is self.phase:
@@ -213,6 +215,8 @@
         if changes.revision < self._revision:
             await self._seal_in_store(f"revision {changes.revision} after {self._revision}")
             return
+        if not await self._still_open():
+            return
         entries = self._entries(changes)
         if entries is None:
             return
@@ -233,8 +237,13 @@
                 return None
             if event.put == CURRENT and decode_history(event.value).name == self._history.name:
                 out.append(Entry(event.version, CURRENT, bytes(event.value)))
-            if key.startswith(HISTORY) or not key.startswith(prefix):
+            if key.startswith(HISTORY):
                 continue
+            if not key.startswith(prefix):
+                if event.put is None or key.startswith(UNARCHIVED):
+                    continue
+                self._seal(f"{key} was written outside it")
+                return None
             key = key[len(prefix) :]
             if key.startswith(PREFIXES) and not key.startswith(UNARCHIVED):
                 out.append(Entry(event.version, key, bytes(event.value) if event.put else None))
@@ -259,6 +268,19 @@
         if self._log.bytes > SNAPSHOT_LOG_BYTES:
             self._begin_log(self.point, self._revision)
 
+    async def _still_open(self) -> bool:
+        """Looks at the marker now and then: data may have gone back to an earlier history with a higher revision."""
+        assert self._history is not None
+        now = time.monotonic()
+        if now - self._verified_at < VERIFY_AFTER_S:
+            return True
+        marker = await self._store.get(OPEN + self._history.name)
+        self._verified_at = now
+        if marker is not None and marker.version == self._marker_version:
+            return True
+        self._seal("its marker is gone, or another one")
+        return False
+
     async def _publish(self) -> None:
         """Tells the owners of partitions what is on disk; only after records have changed, since telling is a change."""
         assert self.point is not None
--- a/spurarch/storage/history.py
+++ b/spurarch/storage/history.py
@@ -240,12 +240,23 @@
             return None
         logical = self.logical(key)
         if logical is None:
+            if event.put is not None:
+                self._judge_foreign(key)
             return None
         self.note_recorded((logical,), event.version)
         if event.put is not None:
             return wire.Event(event.version, logical, None, event.value)
         return wire.Event(event.version, None, logical)
 
+    def _judge_foreign(self, key: str) -> None:
+        """Nobody writes outside the history in force, but a controller without recovery that tries to join.
+
+        Data that went back to an earlier history may have a *higher* revision, since each history counts anew. What is
+        shown after ours is then of that history.
+        """
+        if not key.startswith(UNARCHIVED):
+            self.lose(f"{key} was written outside history {self.record.name}")
+
     def _take_own(self, event: wire.Event) -> None:
         if event.delete == self.marker:
             self.lose(f"history {self.record.name} was sealed")
--- a/spurarch/storage/replica.py
+++ b/spurarch/storage/replica.py
@@ -229,8 +229,11 @@
         after: str | None = None
         first: int | None = None
         seen: set[str] = set()
-        if self.store.history is not None and self.store.history.record.seeded:
-            first = await self._load_seeds(seen)
+        history = self.store.history
+        if history is not None:
+            history.verified_at = float("-inf")  # changes were missed: the history may be another one by now
+            if history.record.seeded:
+                first = await self._load_seeds(seen)
         while True:
             page = await self.store.page(records.LIVE, after)
             first = page.revision if first is None else first
--- a/spurarch/storage/store.py
+++ b/spurarch/storage/store.py
@@ -186,11 +186,13 @@
             return (await self._get(key)).item
         before = await self._begin_read(history)
         found = await self._get(history.physical(key))
-        # Only the answer that there is no such key shows a revision of the whole service.
-        history.check_revision(before, found.revision if found.item is None else before, time.monotonic())
         if found.item is not None:
             found.item.key = key
-        return found.item
+            return found.item
+        # That something does not exist is told to users for good: the history has to be in force at this moment.
+        history.check_revision(before, found.revision, time.monotonic())
+        await self._verify(history)
+        return None
 
     async def _get(self, key: str) -> _Found:
         status, answer = await self._read(f"{wire.PATH_KV}/{key}")
@@ -245,10 +247,14 @@
         """The highest revision seen before the read; the history's marker is read first if that is due."""
         before = history.check_open()
         if history.needs_verification(time.monotonic()):
-            marker = await self._get(history.marker)
-            history.check_marker(marker.revision if marker.item is not None else 0, time.monotonic())
+            await self._verify(history)
         return before
 
+    async def _verify(self, history: HistoryGuard) -> None:
+        """Reads the marker of the history."""
+        marker = await self._get(history.marker)
+        history.check_marker(marker.revision if marker.item is not None else 0, time.monotonic())
+
     def ready(self, urgency: Urgency) -> bool:
         """A transaction of this urgency would not have to wait in line."""
         return not self._lines[urgency].locked() and self._writes.level(time.monotonic()) >= urgency.value
--- a/tests/sim/recovery.py
+++ b/tests/sim/recovery.py
@@ -114,6 +114,7 @@
 
     async def _act(self, words: list[str]) -> None:
         action, args = words[0], words[1:]
+        self.trouble_until = max(self.trouble_until, self.clock.now)
         if action == "wipe":
             self.store.wipe()
         elif action == "save":  # save NAME: the data as it is now
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -111,7 +111,9 @@
 
 def test_changes_of_other_histories_are_not_shown() -> None:
     guard = opened(2)
-    assert guard.take_event(wire.Event(60, "live/job/job-1", None)) is None
+    assert guard.take_event(wire.Event(60, None, "live/job/job-1")) is None
+    assert guard.take_event(wire.Event(60, "live/member/n0", None)) is None
+    assert guard.is_open
     own = guard.take_event(wire.Event(61, "h2.aa/live/job/job-1", None))
     assert own is not None
     assert own.put == "live/job/job-1"
@@ -119,6 +121,13 @@
     assert opened(1).logical("history/current") is None
 
 
+def test_data_that_went_back_to_an_earlier_history_may_have_a_higher_revision() -> None:
+    """Each history counts anew: then only what is written outside the prefix tells."""
+    guard = opened(2)
+    assert guard.take_event(wire.Event(60, "live/job/job-1", None)) is None
+    assert guard.phase is HistoryPhase.LOST
+
+
 def test_a_sealed_marker_is_seen_by_watch() -> None:
     guard = opened()
     guard.take_event(wire.Event(60, None, "history/open/other"))
--- /dev/null
+++ b/tests/test_recovery_combinations.py
@@ -0,0 +1,68 @@
+"""Random days on which the state service loses data among other troubles.
+
+Users are told only what is archived, so whatever any of them was told has to hold, however little lives on.
+`SPURARCH_LOSSES=500 python -m pytest tests/test_recovery_combinations.py` plays as many new ones.
+"""
+
+from __future__ import annotations
+
+import os
+from itertools import chain
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, seed, settings
+from hypothesis import strategies as st
+
+from tests.sim.recovery import RecoveryPlay
+from tests.sim.scenario import Scenario
+from tests.test_fault_combinations import BASE, QUIET_S, moments, timed
+
+MORE = int(os.environ.get("SPURARCH_LOSSES", "0"))
+
+losses = st.one_of(
+    st.just("wipe"),
+    st.just("restore early"),
+    st.just("restore later"),
+    st.sampled_from(["lose live/allot/", "lose live/job/", "lose live/part/", "lose history/open/"]),
+)
+lost = st.builds("at {} {}".format, moments, losses)
+archiver = st.builds("at {0} stop-archiver\nat {1} start-archiver".format, st.integers(80, 200).map(lambda t: t / 10),
+                     st.integers(201, 400).map(lambda t: t / 10))  # fmt: skip
+cancels = st.builds("at {} cancel job-{}".format, moments, st.sampled_from([3, 4, 5, 10]))
+days = st.builds(
+    lambda *parts: "\n".join(dict.fromkeys(chain.from_iterable(parts))),
+    st.lists(lost, min_size=1, max_size=2), st.lists(timed, max_size=3), st.lists(cancels, max_size=2),
+    st.lists(archiver, max_size=1),
+)  # fmt: skip
+
+
+def play(text: str) -> list[str]:
+    """What broke on a day."""
+    whole = f"answers archived\n{BASE}at 8 save early\nat 16 save later\n{text}"
+    scenario = Scenario.parse(whole, {})
+    ends = [at + float(dict(w.split("=") for w in words if "=" in w).get("for", 0)) for at, words in scenario.actions]
+    scenario.end = max(ends) + QUIET_S + 40.0  # a rebuilding may have to wait for workers that are not heard
+    revoking = {words[1] for _, words in scenario.actions if words[0] == "cancel"}
+    may_be = {"done", "aborted"} if "cancel-at-end" in text else {"done"}
+    played = RecoveryPlay(scenario)
+    played.run()
+    problems = list(played.problems)
+    for _, words in scenario.actions:
+        told: list[Any] = played.told.get(words[1], ["nothing"]) if words[0] == "submit" else []
+        if words[0] == "submit" and words[1] not in {*revoking, "job-1", "job-4"} and told[-1] not in may_be:
+            problems.append(f"{words[1]} is left: {told[-1]}")
+    return problems
+
+
+@pytest.mark.parametrize("group", range(3))
+def test_losses_among_other_troubles(group: int) -> None:
+    @settings(
+        max_examples=MORE // 3 or 4, deadline=None, database=None, print_blob=False,
+        phases=[Phase.generate, Phase.shrink] if MORE else [Phase.generate], suppress_health_check=list(HealthCheck),
+    )  # fmt: skip
+    @given(days)
+    def lose(text: str) -> None:
+        assert play(text) == [], text
+
+    (lose if MORE else seed(group)(lose))()
