--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -9,8 +9,8 @@
 import curio
 
 from spurarch.coordination.admission import Admission, Grant, Plan, Shortage
+from spurarch.coordination.allocation_changes import live
 from spurarch.coordination.membership import Membership
-from spurarch.coordination.partition import live
 from spurarch.coordination.provisioning import Kind, Order, Turnover, plan_rentals, room_of
 from spurarch.coordination.round_budget import RoundBudget, rest_s
 from spurarch.coordination.stall_detector import StallDetector
--- a/spurarch/coordination/partition.py
+++ b/spurarch/coordination/partition.py
@@ -8,14 +8,15 @@
 import logging
 from collections import defaultdict
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from typing import Protocol
 
+from spurarch.coordination.allocation_changes import is_live_gang, live, save_grace_s
+from spurarch.coordination.failures import FailureJudge, JobBackoff
 from spurarch.coordination.gang import Gangs, GangState
 from spurarch.coordination.machine import Machine, Phase, Standing, TaskAttempt, observed_phase
 from spurarch.protocol import wire
 from spurarch.storage import records
-from spurarch.storage.records import AllocationKey, AllocationRecord, JobRecord, MachineRecord, TaskEntry
+from spurarch.storage.records import AllocationKey, AllocationRecord, MachineRecord, TaskEntry
 from spurarch.storage.replica import State
 
 log = logging.getLogger(__name__)
@@ -36,32 +37,11 @@
 DEAF_LEASES = 0.5  # several reports: a worker shows a higher token with the next one that it sends
 STRANGE_KEPT = 5000  # machines of which a line is logged
 RETURNED_KEPT = 20_000  # names: several times a fleet
-FAULTS_BEFORE_PAUSE = 2
-FAULT_PAUSE_S = 30.0
-MACHINES_BLAMED = 2  # a job without a success that fails on so many is faulty itself
-REFUSAL_PAUSE_S = 2.0
 NOTICE_MARGIN_S = 1.0  # commands and reports take that long
-SAVE_FACTOR, SAVE_MARGIN_S = 1.5, 1.0  # the time that a task is given to save, from what its owner says it takes
 UNARCHIVED_MOST = 64  # ended tasks of one machine that wait for the archive; its reports grow by them
 SAVE_SLACK_S = 10.0  # beyond its grace, before a task that was told to save is told once more
 
 
-@dataclass(slots=True)
-class JobBackoff:
-    """What a job's failures taught: when to try again."""
-
-    failures: int = 0
-    not_before: float = 0.0
-    good: bool = False  # a task of it has completed
-    machines: set[str] = field(default_factory=set)  # where it failed
-    blamed: dict[str, int] = field(default_factory=dict)  # failures of it that were put down to a machine
-
-    def back_off(self, now: float) -> None:
-        """One more failure: the next try waits longer."""
-        self.failures += 1
-        self.not_before = now + min(30.0, 0.25 * 2 ** min(self.failures, 8))
-
-
 class Partition:
     """State of one part. The owner owns it as long as `epoch` is the part's on record.
 
@@ -79,7 +59,7 @@
         self.machines: dict[str, Machine] = {}
         self.runs: dict[tuple[str, int], TaskAttempt] = {}
         self.free: dict[AllocationKey, list[TaskEntry]] = {}
-        self.backoffs: dict[str, JobBackoff] = defaultdict(JobBackoff)
+        self._failures = FailureJudge(self.machines)
         self.dark = False  # nobody hears its workers
         self.ready = False  # the records of this part have been read since it was claimed
         self.occasions = 0  # machines that became known and tasks that left: a round of decisions may use the room
@@ -103,6 +83,11 @@
         self.may_start: Callable[[], bool] = lambda: True  # the records can be believed
         self.coverage: ArchiveCoverage | None = None  # where ends have to be archived before they are forgotten
 
+    @property
+    def backoffs(self) -> dict[str, JobBackoff]:
+        """By job, what its failures taught."""
+        return self._failures.backoffs
+
     # Tokens
 
     @property
@@ -141,7 +126,7 @@
 
     def _job_over(self, ref: str) -> None:
         """The job ended or was cancelled: its tasks leave, and its allocations go."""
-        self.backoffs.pop(ref, None)
+        self._failures.backoffs.pop(ref, None)
         self.gangs.drop(ref)
         for where in self._by_job.get(ref, ()):
             self.stale.add(where)
@@ -433,7 +418,7 @@
                 if image is not None:
                     machine.images.add(image)
             if phase is Phase.EXITED:
-                self._judge(machine, run, now)
+                self._failures.judge(machine, run, now)
 
     def _note_unknown_state(self, state: str) -> None:
         """A state that this version does not know teaches nothing; workers may be newer than controllers."""
@@ -441,38 +426,6 @@
             self._unknown_states.add(state)
             log.warning("workers report the unknown task state %r", state)
 
-    def _judge(self, machine: Machine, run: TaskAttempt, now: float) -> None:
-        """Learns from the way a task ended."""
-        backoff = self.backoffs[run.where.job]
-        if run.why == wire.WHY_ERROR:
-            backoff.machines.add(machine.name)
-            if backoff.good or len(backoff.machines) < MACHINES_BLAMED:
-                machine.failures += 1
-                backoff.blamed[machine.name] = backoff.blamed.get(machine.name, 0) + 1
-            else:
-                self._forgive(backoff)
-            backoff.back_off(now)
-            log.info("task %s/%d failed on %s (attempt %d)", *run.key, machine.name, run.attempt)
-            if machine.failures >= FAULTS_BEFORE_PAUSE:
-                machine.avoid_until = now + FAULT_PAUSE_S * machine.failures
-        elif run.why in (wire.WHY_NO_ROOM, wire.WHY_BUSY):
-            machine.pause_until = now + REFUSAL_PAUSE_S
-        elif run.why == wire.WHY_UNKNOWN:
-            backoff.back_off(now)
-        elif run.why == wire.WHY_DONE:
-            backoff.failures, backoff.good = 0, True
-            machine.failures = 0
-
-    def _forgive(self, backoff: JobBackoff) -> None:
-        """A job that fails wherever it is put says nothing of the machines, nor did its failures before it showed."""
-        for name, failures in backoff.blamed.items():
-            machine = self.machines.get(name)
-            if machine is not None:
-                machine.failures = max(0, machine.failures - failures)
-                if machine.failures < FAULTS_BEFORE_PAUSE:
-                    machine.avoid_until = 0.0
-        backoff.blamed.clear()
-
     def _prove_absent(self, machine: Machine, report: wire.Report) -> None:
         """A task that has to go and is not in the report is off the machine, if no start can still be on its way."""
         stopping = [run for run in machine.runs.values() if run.stop]
@@ -763,54 +716,3 @@
         if done or not live(state, run.where.job):
             return records.ENDED  # done, or nobody will want it again
         return records.RETURNED if self.dark else records.FREE  # there is no room for it here
-
-
-def live(state: State, job: str) -> bool:
-    """The job is on record and not cancelled."""
-    record: JobRecord | None = state.jobs.get(job)
-    return record is not None and not record.cancelled
-
-
-def save_grace_s(spec: wire.Submission) -> float:
-    """How long a task that is told to leave gets to save its progress; 0 if it never saves."""
-    return spec.save_s * SAVE_FACTOR + SAVE_MARGIN_S if spec.checkpoint_s > 0 else 0.0
-
-
-def is_live_gang(state: State, job: str) -> bool:
-    """The job is on record, not cancelled, and its tasks start together."""
-    return live(state, job) and state.jobs[job].spec.kind == wire.GANG
-
-
-_BEFORE = {
-    records.RETURNED: {records.FREE, records.ASSIGNED},
-    records.ENDED: {records.ASSIGNED},
-    records.FREE: {records.ASSIGNED},
-}
-
-
-def _follows(entry: TaskEntry, new: TaskEntry, gang: bool) -> bool:
-    """The entry still is what the change was decided for.
-
-    A new attempt has the next number, in a gang the next that none of its members has had, and every other change
-    belongs to the attempt that it was decided for.
-    """
-    if new.state == records.ASSIGNED:
-        newer = new.attempt > entry.attempt if gang else new.attempt == entry.attempt + 1
-        return entry.state == records.FREE and newer
-    return entry.state in _BEFORE[new.state] and new.attempt == entry.attempt
-
-
-def merged(record: AllocationRecord, changes: dict[int, TaskEntry], gang: bool = False) -> AllocationRecord | None:
-    """A copy of an allocation with some entries replaced, as far as they still are what the change was decided for.
-
-    Members of a gang are given machines together, so one whose entry has changed keeps the others from it.
-    """
-    out, changed = [], False
-    for entry in record.tasks:
-        new = changes.get(entry.index)
-        if new is not None and _follows(entry, new, gang):
-            entry, changed = new, True
-        elif new is not None and gang and new.state == records.ASSIGNED:
-            return None
-        out.append(entry)
-    return AllocationRecord(out) if changed else None
--- a/spurarch/coordination/partition_owner.py
+++ b/spurarch/coordination/partition_owner.py
@@ -10,12 +10,13 @@
 
 import curio
 
+from spurarch.coordination.allocation_changes import is_live_gang, merged, save_grace_s
 from spurarch.coordination.command_sender import CommandSender
 from spurarch.coordination.loop_lag import LoopLag
 from spurarch.coordination.machine import Standing, TaskAttempt
 from spurarch.coordination.membership import Membership
 from spurarch.coordination.owned_partition import OwnedPartition
-from spurarch.coordination.partition import ArchiveCoverage, Partition, is_live_gang, merged, save_grace_s
+from spurarch.coordination.partition import ArchiveCoverage, Partition
 from spurarch.coordination.permissions import Permissions
 from spurarch.coordination.releasing import MachineReleaser
 from spurarch.coordination.round_budget import RoundBudget
--- a/spurarch/coordination/placing.py
+++ b/spurarch/coordination/placing.py
@@ -8,6 +8,7 @@
 from functools import cached_property
 from itertools import groupby, islice
 
+from spurarch.coordination.allocation_changes import live
 from spurarch.coordination.best_fit import (
     EPSILON,
     Draft,
@@ -21,7 +22,7 @@
 )
 from spurarch.coordination.gang import GangAttempt, GangState
 from spurarch.coordination.machine import Phase, TaskAttempt
-from spurarch.coordination.partition import Partition, live
+from spurarch.coordination.partition import Partition
 from spurarch.coordination.view import FleetView, JobView
 from spurarch.storage import records
 from spurarch.storage.records import AllocationKey, TaskEntry
--- a/spurarch/coordination/release_candidates.py
+++ b/spurarch/coordination/release_candidates.py
@@ -4,8 +4,9 @@
 
 from collections.abc import Callable
 
+from spurarch.coordination.failures import FAULTS_BEFORE_PAUSE
 from spurarch.coordination.machine import Machine, Standing
-from spurarch.coordination.partition import FAULTS_BEFORE_PAUSE, Partition
+from spurarch.coordination.partition import Partition
 from spurarch.coordination.view import FleetView
 from spurarch.settings import Tuning, Workers
 from spurarch.storage import records
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -8,11 +8,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from spurarch.coordination.allocation_changes import merged
 from spurarch.coordination.best_fit import Need, Room, gathering_rooms
 from spurarch.coordination.gang import GangAttempt, Gangs, GangState
 from spurarch.coordination.machine import Phase, TaskAttempt
 from spurarch.coordination.membership import assign_partitions, gangs_supported
-from spurarch.coordination.partition import Partition, merged
+from spurarch.coordination.partition import Partition
 from spurarch.protocol import wire
 from spurarch.storage import records
 from spurarch.storage.records import (
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -13,10 +13,11 @@
 
 from spurarch.coordination import best_fit as best_fit_module
 from spurarch.coordination.admission import Admission
+from spurarch.coordination.allocation_changes import merged
 from spurarch.coordination.best_fit import Draft, Need, Room, best_fit, fill, fitting
 from spurarch.coordination.machine import Phase
 from spurarch.coordination.membership import rate_shares
-from spurarch.coordination.partition import Partition, merged
+from spurarch.coordination.partition import Partition
 from spurarch.coordination.placing import Placer
 from spurarch.coordination.tabu import Replica, Search, Weights
 from spurarch.coordination.view import FleetView
