Recovery: keys of others in the same state service are no sign of loss

Cause: a key outside the prefix of the history in force was taken for a loss, whoever wrote it (found by rereading). Change: only keys that are records of some history count; purge leaves others alone as well.

--- a/spurarch/archive/follower.py
+++ b/spurarch/archive/follower.py
@@ -33,6 +33,7 @@
     HistoryRecord,
     decode_archived,
     decode_history,
+    is_record_key,
 )
 from spurarch.storage.limits import Urgency
 from spurarch.storage.records import FINAL, LIVE
@@ -240,7 +241,7 @@
             if key.startswith(HISTORY):
                 continue
             if not key.startswith(prefix):
-                if event.put is None or key.startswith(UNARCHIVED):
+                if event.put is None or key.startswith(UNARCHIVED) or not is_record_key(key):
                     continue
                 self._seal(f"{key} was written outside it")
                 return None
--- a/spurarch/recovery/operators.py
+++ b/spurarch/recovery/operators.py
@@ -23,6 +23,7 @@
     OpenMarker,
     decode_archived,
     decode_history,
+    is_record_key,
 )
 from spurarch.storage.limits import Urgency
 from spurarch.storage.records import FinalRecord
@@ -148,7 +149,7 @@
     """Nobody who works in the history reads the key. The first history's leader keeps earlier versions from leading."""
     if history.number == 1 or key.startswith(HISTORY):
         return False
-    return not key.startswith(history.prefix) and key != records.LEADER
+    return is_record_key(key) and not key.startswith(history.prefix) and key != records.LEADER
 
 
 async def _history(store: Store) -> HistoryRecord:
--- a/spurarch/storage/history.py
+++ b/spurarch/storage/history.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import enum
+import re
 import zlib
 from collections.abc import Iterable
 
@@ -18,7 +19,8 @@
 from msgspec import Struct
 
 from spurarch.protocol import wire
-from spurarch.storage.records import LEADER, MEMBER
+from spurarch.storage.records import FINAL, LEADER, LIVE, MEMBER
+from spurarch.storage.seeds import SEED
 from spurarch.storage.store import Outcome, StoreUnavailableError, Verdict
 
 HISTORY = "history/"
@@ -95,6 +97,9 @@
     """The records may not be read or written: their history is not known to be open."""
 
 
+_LATER_PREFIX = re.compile(r"h[0-9]+\.[0-9a-f]+")  # of histories after the first
+_RECORDS = (LIVE, FINAL, PACKED, SEED, DOUBT)
+
 _record_decoder = msgspec.json.Decoder(HistoryRecord)
 _archived_decoder = msgspec.json.Decoder(ArchivedRecord)
 _packed_decoder = msgspec.json.Decoder(PackedFinals)
@@ -115,6 +120,14 @@
     return _packed_decoder.decode(raw)
 
 
+def is_record_key(key: str) -> bool:
+    """A key of some history's records; others may keep theirs in the same service."""
+    prefix, _, rest = key.partition("/")
+    if _LATER_PREFIX.fullmatch(prefix):
+        key = rest
+    return key.startswith(_RECORDS)
+
+
 def packed_key(job: str, records: int) -> str:
     """The record that holds the final standing of a job of an earlier history."""
     return f"{PACKED}{zlib.crc32(job.encode()) % records}"
@@ -254,7 +267,7 @@
         Data that went back to an earlier history may have a *higher* revision, since each history counts anew. What is
         shown after ours is then of that history.
         """
-        if not key.startswith(UNARCHIVED):
+        if is_record_key(key) and not key.startswith(UNARCHIVED):
             self.lose(f"{key} was written outside history {self.record.name}")
 
     def _take_own(self, event: wire.Event) -> None:
--- a/tests/sim/measure_recovery.py
+++ b/tests/sim/measure_recovery.py
@@ -25,9 +25,12 @@
 from spurarch.recovery.evidence import Evidence, Source, SourceKind
 from spurarch.recovery.merge import merge
 from spurarch.storage import records
+from spurarch.storage.history import ARCHIVED
 from spurarch.storage.records import ASSIGNED, AllocationRecord, FinalRecord, JobRecord, TaskEntry
 from tests.outcomes import STARTED, TOLD, check, repeated_starts
 from tests.sim.loopback import Installation, Job, LoopbackSettings, play
+from tests.sim.recovery import RecoveryPlay
+from tests.sim.scenario import Play, Scenario
 
 LIMIT_S = 240.0
 TASKS = 3
@@ -171,6 +174,34 @@
     }  # fmt: skip
 
 
+DAY = """
+team t max=200
+tuning consolidation_cap=0 imbalance_weight=0 idle_return_s=1000
+type small cpus=4 boot=5
+machines small a 8
+machines small b 8
+"""
+
+
+def forget_cost(kind: str) -> dict[str, object]:
+    """What waiting for the archive adds to reports and to changes, in virtual time: 60 arrays of 4 tasks in a minute."""
+    jobs = "".join(f"at {2 + n} submit job-{n + 1} tasks=4 run=3,5,7\n" for n in range(60))
+    scenario = Scenario.parse(DAY + jobs + "end 90\n", {})
+    played = RecoveryPlay(scenario) if kind != "off" else Play(scenario)
+    if kind == "waits for nothing":
+        played.tuning.archive_patience_s = 1e-6
+    played.run()
+    reports = [body for worker in played.world.workers.values() for _, body in worker.sent]
+    published = sum(event.get("write") == ARCHIVED for _, event in played.store.events)
+    return {
+        "recovery": kind, "reports": len(reports), "bytes a report": sum(map(len, reports)) / len(reports),
+        "ended tasks a report": sum(body.count(b'"ended"') for body in reports) / len(reports),
+        "most ended tasks": max(body.count(b'"ended"') for body in reports),
+        "changes": sum(len(body["then"]) for body in played.store._carried), "of them published progress": published,
+        "problems": len(played.problems),
+    }  # fmt: skip
+
+
 def main() -> None:
     """Runs everything and prints a line of JSON for each."""
     parser = argparse.ArgumentParser(description="Measures recovery on loopback.")
@@ -182,6 +213,8 @@
         for machines, finals in ((400, 10_000), (4000, 10_000), (4000, 100_000)):
             show(asdict(merge_cost(machines, finals, Path(directory))))
         show(log_cost(Path(directory)))
+    for kind in ("off", "waits for nothing", "on"):
+        show(forget_cost(kind))
     for size in args.sizes.split(","):
         machines, jobs = map(int, size.split("x"))
         for kind in ("all lived on", "all ended"):
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -113,6 +113,7 @@
     guard = opened(2)
     assert guard.take_event(wire.Event(60, None, "live/job/job-1")) is None
     assert guard.take_event(wire.Event(60, "live/member/n0", None)) is None
+    assert guard.take_event(wire.Event(60, "somebody/else", None)) is None
     assert guard.is_open
     own = guard.take_event(wire.Event(61, "h2.aa/live/job/job-1", None))
     assert own is not None
--- a/tests/test_recovery_operators.py
+++ b/tests/test_recovery_operators.py
@@ -111,7 +111,7 @@
         await declare_first_history(client, False)
         put(service, CURRENT, {"name": "bb", "number": 3})
         put(service, "history/open/bb", {"number": 3})
-        kept = {"h3.bb/live/job/job-1", "h3.bb/final/job-2", "live/leader", CURRENT, "history/open/bb"}
+        kept = {"somebody/else", "h3.bb/live/job/job-1", "h3.bb/final/job-2", "live/leader", CURRENT, "history/open/bb"}
         for key in [*kept, *(f"live/job/job-{n}" for n in range(9)), "h2.aa/final/job-1", "final/job-5"]:
             if key not in service.keys:
                 put(service, key, {})
