Recovery: all reports that have come by now, finished claims are free, purge takes marks of ended rebuildings

Cause (rereading): one page of reports a round is too slow for thousands of workers on one controller; the claim of a finished rebuilding kept the next one waiting for five seconds; marks of rebuildings that ended on their way stayed for good. Change: pages are taken until none is left; a claim whose rebuilding is over is free; purge deletes the marks while a history is open. Tests on loopback have workers' addresses of their own.

--- a/spurarch/recovery/claim.py
+++ b/spurarch/recovery/claim.py
@@ -18,6 +18,7 @@
 from spurarch.storage.store import Outcome, Store, StoreUnavailableError, Verdict
 
 HEARTBEAT_S = 1.0
+FINISHED = "opened"  # the step of a rebuilding that is over
 SILENT_S = 5.0  # several heartbeats: a claim that does not change for so long may be taken over
 
 
@@ -73,7 +74,8 @@
         """Claims the rebuilding if nobody has it, or whoever had it is silent."""
         await self.read()
         silent = time.monotonic() - self._unchanged_since > SILENT_S
-        if self.record is not None and not self.mine and not silent:
+        free = self.record is None or self.record.step == FINISHED
+        if not free and not self.mine and not silent:
             return False
         record = ClaimRecord(self._node, self._boot, name, 1, 0, "sealing")
         return (await self._write(record, [], [])).verdict is Verdict.DONE
--- a/spurarch/recovery/operators.py
+++ b/spurarch/recovery/operators.py
@@ -18,6 +18,7 @@
     DOUBT,
     HISTORY,
     OPEN,
+    REBUILD,
     ArchivedRecord,
     HistoryRecord,
     OpenMarker,
@@ -146,9 +147,12 @@
 
 
 def _is_left_over(key: str, history: HistoryRecord) -> bool:
-    """Nobody who works in the history reads the key. The first history's leader keeps earlier versions from leading."""
+    """Nobody who works in the history reads the key. The first history's leader keeps earlier versions from leading.
+
+    While the history is open, nothing is being rebuilt: what marks a rebuilding is left from one that ended on its way.
+    """
     if history.number == 1 or key.startswith(HISTORY):
-        return False
+        return key.startswith(REBUILD)
     return is_record_key(key) and not key.startswith(history.prefix) and key != records.LEADER
 
 
--- a/spurarch/recovery/rebuild.py
+++ b/spurarch/recovery/rebuild.py
@@ -18,7 +18,7 @@
 from spurarch.protocol import recovery_messages, wire
 from spurarch.protocol.recovery_messages import ReportsPage, ReportsRequest
 from spurarch.recovery import copies
-from spurarch.recovery.claim import HEARTBEAT_S, RebuildClaim
+from spurarch.recovery.claim import FINISHED, HEARTBEAT_S, RebuildClaim
 from spurarch.recovery.collector import ReportCollector
 from spurarch.recovery.evidence import Evidence, Source, SourceKind
 from spurarch.recovery.merge import Merger, Picture, highest_epoch, machines_on_record
@@ -68,7 +68,7 @@
     GATHERING = "gathering"
     COLLECTING = "collecting"
     WRITING = "writing"
-    OPENED = "opened"
+    OPENED = FINISHED
 
 
 _NEXT = {
@@ -133,9 +133,11 @@
         self.step = step
         log.info("rebuilding %s: %s", self._name, step.value)
 
-    async def _commit(self, changes: list[wire.Put | wire.Delete], guards: list[wire.Guard] | None = None) -> None:
+    async def _commit(
+        self, changes: list[wire.Put | wire.Delete], guards: list[wire.Guard] | None = None, step: Step | None = None
+    ) -> None:
         own = [wire.Guard(REBUILD + self._name, self._rebuild_version)] if self._rebuild_version else []
-        await self._claim.commit([*own, *(guards or [])], changes, self.step.value, self._epoch)
+        await self._claim.commit([*own, *(guards or [])], changes, (step or self.step).value, self._epoch)
         self._beat_at = time.monotonic()
 
     async def _beat(self) -> None:
@@ -292,28 +294,33 @@
 
     async def _take_reports(self, evidence: Evidence) -> None:
         """Newest reports from all controllers."""
-        collector = self._around.collector
+        collector, own = self._around.collector, self._around.node
+        while self._take_page(evidence, own, *collector.page(self._epoch, self._positions.get(own, 0))):
+            await curio.sleep(0)
         shown = collector.highest_epoch
-        self._positions[self._around.node] = self._take_page(
-            evidence, *collector.page(self._epoch, self._positions.get(self._around.node, 0))
-        )
         for node, peer in self._around.peers.items():
+            shown = max(shown, await self._take_reports_of(node, peer, evidence))
+        if shown > self._epoch:
+            raise RebuildRefusedError(f"a worker has shown epoch {shown}: beginning anew above it")
+
+    async def _take_reports_of(self, node: str, peer: Calls, evidence: Evidence) -> int:
+        """All pages that a peer has by now; the highest epoch that a worker showed there."""
+        while True:
             await self._beat()
-            position = self._positions.get(node, 0)
-            request = ReportsRequest(self._around.node, self._epoch, position)
+            request = ReportsRequest(self._around.node, self._epoch, self._positions.get(node, 0))
             answer = await peer.call(recovery_messages.encode(request), CALL_S)
             page = recovery_messages.decode(answer) if answer is not None else None
-            if isinstance(page, ReportsPage):
-                self._positions[node] = self._take_page(evidence, page.reports, page.position)
-                shown = max(shown, page.highest_epoch)
-        if shown > self._epoch:
-            raise RebuildRefusedError(f"a worker has shown epoch {shown}: beginning anew above it")
+            if not isinstance(page, ReportsPage):
+                return 0
+            if not self._take_page(evidence, node, page.reports, page.position):
+                return page.highest_epoch
 
-    @staticmethod
-    def _take_page(evidence: Evidence, reports: list[wire.Report], position: int) -> int:
+    def _take_page(self, evidence: Evidence, node: str, reports: list[wire.Report], position: int) -> bool:
+        """Takes a page in; False if there was nothing on it."""
         for report in reports:
             evidence.take_report(report)
-        return position
+        self._positions[node] = position
+        return bool(reports)
 
     async def _add_listed(self, needed: set[str]) -> bool:
         """Machines that only a controller that has ended may have known."""
@@ -355,7 +362,7 @@
             # A version that knows no history would lead in the first one's keys; this leader never ends.
             wire.Put(records.LEADER, LeaderRecord("", "")),
         ]  # fmt: skip
-        await self._commit(opening, [wire.Guard(OPEN + self._name, 0)])
+        await self._commit(opening, [wire.Guard(OPEN + self._name, 0)], Step.OPENED)
         self._advance(Step.OPENED)
         return history
 
--- a/tests/sim/loopback.py
+++ b/tests/sim/loopback.py
@@ -131,7 +131,8 @@
     def __init__(self, log: OutcomeLog, *args: Any) -> None:
         super().__init__(*args)
         self.outcomes = log
-        self.worker_address = "127.1.0.{}:9000"
+        # Of this process alone: runs of the tests beside each other must not share their workers' addresses.
+        self.worker_address = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}." + "{}:9000"
 
     def _note(self, kind: str, task: SimTask, machine: str) -> None:
         job, index = task.name.split("/")
--- a/tests/sim/measure_recovery.py
+++ b/tests/sim/measure_recovery.py
@@ -17,6 +17,7 @@
 from random import Random
 
 import curio
+import msgspec
 
 from spurarch.archive.directory import ChangeLog, Point, write_snapshot
 from spurarch.archive.format import Entry
@@ -27,6 +28,7 @@
 from spurarch.storage import records
 from spurarch.storage.history import ARCHIVED
 from spurarch.storage.records import ASSIGNED, AllocationRecord, FinalRecord, JobRecord, TaskEntry
+from spurarch.storage.seeds import SeedRecord, pack
 from tests.outcomes import STARTED, TOLD, check, repeated_starts
 from tests.sim.loopback import Installation, Job, LoopbackSettings, play
 from tests.sim.recovery import RecoveryPlay
@@ -123,7 +125,8 @@
     machines: int
     finals: int
     merge_s: float
-    changes: int  # of the state service, to write the picture
+    records: int  # that are alive
+    changes: int  # of the state service, to open with them
     archive_bytes: int
     snapshot_s: float
     peak_mb: float  # of this process, with five copies
@@ -147,13 +150,17 @@
     began = time.perf_counter()
     picture = merge(Evidence(sources, {r.machine: r for r in reports}, True), 100)
     merge_s = time.perf_counter() - began
-    changes = len(picture.jobs) + len(picture.admitted) + len(picture.allocations) + -(-finals * 120 // 16384)
+    alive = [SeedRecord(records.JOB + job, msgspec.Raw(wire.encode(found))) for job, found in picture.jobs.items()]
+    alive += [SeedRecord(str(w), msgspec.Raw(wire.encode(found))) for w, found in picture.allocations.items()]
+    changes = len(pack(alive, 24, 16384)) + -(-finals * 120 // 16384)
     point = Point(f"m{machines}-{finals}", 1, machines + finals)
     for record in stored:
         point.apply(Entry(record.version, record.key, record.value))
     began = time.perf_counter()
     path = write_snapshot(directory, point)
-    return MergeCost(machines, finals, merge_s, changes, path.stat().st_size, time.perf_counter() - began, peak_mb())
+    return MergeCost(
+        machines, finals, merge_s, len(alive), changes, path.stat().st_size, time.perf_counter() - began, peak_mb()
+    )
 
 
 def log_cost(directory: Path) -> dict[str, float]:
--- a/tests/test_recovery_operators.py
+++ b/tests/test_recovery_operators.py
@@ -112,12 +112,13 @@
         put(service, CURRENT, {"name": "bb", "number": 3})
         put(service, "history/open/bb", {"number": 3})
         kept = {"somebody/else", "h3.bb/live/job/job-1", "h3.bb/final/job-2", "live/leader", CURRENT, "history/open/bb"}
-        for key in [*kept, *(f"live/job/job-{n}" for n in range(9)), "h2.aa/final/job-1", "final/job-5"]:
+        left = ["h2.aa/final/job-1", "final/job-5", "history/rebuild/cc"]
+        for key in [*kept, *(f"live/job/job-{n}" for n in range(9)), *left]:
             if key not in service.keys:
                 put(service, key, {})
-        assert await operators.purge(client) == 11
+        assert await operators.purge(client) == 12
         assert kept <= set(service.keys)
-        assert not [k for k in service.keys if k.startswith(("live/job", "h2.", "final/"))]
+        assert not [k for k in service.keys if k.startswith(("live/job", "h2.", "final/", "history/rebuild"))]
 
     with_store(story)
 
