Recovery: a controller that starts asks others at once, and waits for half a second

Cause (rereading): it asked peers and then the archive, up to four seconds, while its workers' leases ran on.

--- a/spurarch/recovery/copies.py
+++ b/spurarch/recovery/copies.py
@@ -111,10 +111,10 @@
         position = page.position
 
 
-async def archive_head(client: Requests) -> ArchiveHead | None:
+async def archive_head(client: Requests, timeout_s: float) -> ArchiveHead | None:
     """What an archiver has; None if it can't be asked."""
     try:
-        status, body = await client.request("GET", PATH_HEAD, None, CALL_S)
+        status, body = await client.request("GET", PATH_HEAD, None, timeout_s)
         return _head_decoder.decode(body) if status == 200 else None
     except (NoAnswerError, msgspec.DecodeError):
         return None
--- a/spurarch/recovery/service.py
+++ b/spurarch/recovery/service.py
@@ -32,6 +32,7 @@
 from spurarch.recovery import copies
 from spurarch.recovery.claim import ClaimLostError, RebuildClaim
 from spurarch.recovery.collector import ReportCollector
+from spurarch.recovery.copies import ArchiveHead
 from spurarch.recovery.evidence import Source
 from spurarch.recovery.rebuild import Rebuilding, RebuildRefusedError, Surroundings
 from spurarch.settings import Platform, Tuning
@@ -47,7 +48,7 @@
 REFUSED_PAUSE_S = 3.0
 SUSPICIOUS_LEAST = 2
 SUSPICIOUS_KEPT = 100
-CALL_S = 1.0
+CALL_S = 0.5
 REBUILD_SHARE = 0.9  # of the state service's rates, which nobody else uses meanwhile
 CONNECTIONS = 2
 
@@ -77,6 +78,14 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Others:
+    """What other controllers and the archive have seen."""
+
+    answers: list[RevisionAnswer]
+    head: ArchiveHead | None
+
+
 class RecoveryService:
     """Recovery, as one controller takes part in it."""
 
@@ -155,13 +164,14 @@
 
     async def _doubt_emptiness(self) -> None:
         """An empty state service is either new or was wiped: an archive or another controller knows which."""
-        head = await copies.archive_head(self._archive) if self._archive is not None else None
-        if head is not None and head.history is not None and head.history.installation != self._installation:
-            log.error("the archive is of installation %r, not %r", head.history.installation, self._installation)
-        elif head is not None and head.history is not None:
-            self._lose_known(head.history, f"no history, the archive has {head.history.name}")
+        others = await self._ask_others()
+        archived = others.head.history if others.head is not None else None
+        if archived is not None and archived.installation != self._installation:
+            log.error("the archive is of installation %r, not %r", archived.installation, self._installation)
+        elif archived is not None:
+            self._lose_known(archived, f"no history, the archive has {archived.name}")
             return
-        for answer in await self._ask_revisions():
+        for answer in others.answers:
             if answer.history:
                 self._lose_known(
                     HistoryRecord(answer.history, answer.number), f"no history, {answer.node} has seen {answer.history}"
@@ -175,20 +185,26 @@
 
     async def _newest_known(self, history: str) -> int:
         """The newest revision of a history that the archive or another controller has seen."""
-        seen = [answer.revision for answer in await self._ask_revisions() if answer.history == history]
-        head = await copies.archive_head(self._archive) if self._archive is not None else None
-        if head is not None and head.history is not None and head.history.name == history:
-            seen.append(head.revision)
+        others = await self._ask_others()
+        seen = [answer.revision for answer in others.answers if answer.history == history]
+        if others.head is not None and others.head.history is not None and others.head.history.name == history:
+            seen.append(others.head.revision)
         return max(seen, default=0)
 
-    async def _ask_revisions(self) -> list[RevisionAnswer]:
-        """What other controllers have seen; those that can't be reached at once say nothing."""
+    async def _ask_others(self) -> _Others:
+        """What other controllers and the archive have seen, asked at once; who does not answer soon says nothing.
+
+        Workers wait meanwhile, whose leases go on running.
+        """
         request = recovery_messages.encode(RevisionRequest(self._node))
         async with curio.TaskGroup() as group:
-            for peer in self._peers.values():
-                await group.spawn(peer.call, request, CALL_S)
-        answers = [recovery_messages.decode(frame) for frame in group.results if frame is not None]
-        return [answer for answer in answers if isinstance(answer, RevisionAnswer)]
+            asked = [await group.spawn(peer.call, request, CALL_S) for peer in self._peers.values()]
+            head = await group.spawn(self._archive_head)
+        answers = [recovery_messages.decode(task.result) for task in asked if task.result is not None]
+        return _Others([answer for answer in answers if isinstance(answer, RevisionAnswer)], head.result)
+
+    async def _archive_head(self) -> ArchiveHead | None:
+        return await copies.archive_head(self._archive, CALL_S) if self._archive is not None else None
 
     # Watching
 
