--- a/spurarch/archive/follower.py
+++ b/spurarch/archive/follower.py
@@ -114,9 +114,12 @@
 
     async def run(self) -> None:
         """Follows until cancelled; raises if another archiver is at work, or the disk fails."""
-        await self._yield_to_rival()
+        yielded = False
         while True:
             try:
+                if not yielded:  # the state service may be out as this starts
+                    await self._yield_to_rival()
+                    yielded = True
                 await self._step()
             except RevisionTooOldError:
                 log.warning("archive: changes were missed, reading again")
--- a/spurarch/recovery/service.py
+++ b/spurarch/recovery/service.py
@@ -217,11 +217,14 @@
         log.warning("the state service lost its data: %s", self._guard.reason)
         self._advance(ServicePhase.CLOSED)
         self._store.set_shares(REBUILD_SHARE, REBUILD_SHARE)
+        reached = True  # only to log an outage once
         while not self._moved:
             try:
                 await self._look_while_closed()
+                reached = True
             except StoreUnavailableError as err:
-                log.info("rebuilding: %s", err)
+                log.log(logging.INFO if reached else logging.DEBUG, "rebuilding: %s", err)
+                reached = False
             if not self._moved:
                 await curio.sleep(LOOK_S)
 
--- a/tests/test_archive.py
+++ b/tests/test_archive.py
@@ -353,6 +353,22 @@
     world.run(main)
 
 
+def test_an_archiver_that_starts_in_an_outage_waits(tmp_path: Path) -> None:
+    """It ended with the first answer that it did not get (found by a random day)."""
+    world = Archived(tmp_path)
+
+    async def main() -> None:
+        await declare_first_history(world.client, False)
+        world.put("live/job/job-1", "x")
+        world.store.outage(10)
+        follower, _ = await world.begin()
+        await curio.sleep(20)
+        assert follower.phase is FollowerPhase.FOLLOWING
+        assert world.archived() == {"live/job/job-1": "x"}
+
+    world.run(main)
+
+
 def test_a_second_archiver_gives_way(tmp_path: Path) -> None:
     world = Archived(tmp_path)
 
