--- a/tests/test_recovery_combinations.py
+++ b/tests/test_recovery_combinations.py
@@ -22,10 +22,12 @@
 losses = st.one_of(
     st.just("wipe"),
     st.just("restore early"),
-    st.just("restore later"),
     st.sampled_from(["lose live/allot/", "lose live/job/", "lose live/part/", "lose history/open/"]),
 )
-lost = st.builds("at {} {}".format, moments, losses)
+lost = st.one_of(
+    st.builds("at {} {}".format, moments, losses),
+    st.builds("at {} restore later".format, st.integers(161, 400).map(lambda tenths: tenths / 10)),  # saved at 16 s
+)
 archiver = st.builds("at {0} stop-archiver\nat {1} start-archiver".format, st.integers(80, 200).map(lambda t: t / 10),
                      st.integers(201, 400).map(lambda t: t / 10))  # fmt: skip
 cancels = st.builds("at {} cancel job-{}".format, moments, st.sampled_from([3, 4, 5, 10]))
