--- a/tests/sim/loopback.py
+++ b/tests/sim/loopback.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import json
 import os
 import signal
@@ -28,6 +29,7 @@
 
 ROOT = Path(__file__).parent.parent.parent
 CONNECTIONS = 200
+PR_SET_PDEATHSIG = 1  # of prctl(2)
 PLATFORM = """
 node = "{node}"
 area = "{area}"
@@ -69,6 +71,11 @@
     return out
 
 
+def _end_with_parent() -> None:
+    """In the new process: it is ended when the tests are, however that happens."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class RealClock:
     """The time that the stand-ins see."""
 
@@ -253,7 +260,7 @@
         with (self.directory / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, str(ROOT / "run.py"), *words], stderr=log, stdout=log, stdin=subprocess.DEVNULL,
-                env=os.environ | {"LOG_LEVEL": "info"},
+                env=os.environ | {"LOG_LEVEL": "info"}, preexec_fn=_end_with_parent,
             )  # fmt: skip
 
     def start_controller(self, index: int) -> None:
