--- a/tests/sim/measure_recovery.py
+++ b/tests/sim/measure_recovery.py
@@ -15,6 +15,7 @@
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import curio
 import msgspec
@@ -209,6 +210,32 @@
     }  # fmt: skip
 
 
+def answer_cost(archived: bool) -> dict[str, object]:
+    """How long users wait for answers before and after the archive, in virtual time, by the same day."""
+    jobs = "".join(f"at {2 + n} submit job-{n + 1} tasks=4 run=3,5,7\n" for n in range(60))
+    played = RecoveryPlay(Scenario.parse(("answers archived\n" if archived else "") + DAY + jobs + "end 90\n", {}))
+    waits: dict[str, list[float]] = {"POST": [], "GET": []}
+    ask = played._ask
+
+    async def timed(method: str, target: str, body: bytes, node: str | None = None) -> tuple[int, dict[str, Any]]:
+        began = played.clock.now
+        answer = await ask(method, target, body, node)
+        waits[method].append(played.clock.now - began)
+        return answer
+
+    played._ask = timed  # type: ignore[method-assign]
+    played.run()
+    out: dict[str, object] = {"answers archived": archived, "problems": len(played.problems)}
+    for method, found in waits.items():
+        found.sort()
+        out[method] = {
+            "answers": len(found),
+            "median s": found[len(found) // 2],
+            "p99 s": found[int(len(found) * 0.99)],
+        }
+    return out
+
+
 def main() -> None:
     """Runs everything and prints a line of JSON for each."""
     parser = argparse.ArgumentParser(description="Measures recovery on loopback.")
@@ -222,6 +249,8 @@
         show(log_cost(Path(directory)))
     for kind in ("off", "waits for nothing", "on"):
         show(forget_cost(kind))
+    for archived in (False, True):
+        show(answer_cost(archived))
     for size in args.sizes.split(","):
         machines, jobs = map(int, size.split("x"))
         for kind in ("all lived on", "all ended"):
