Recovery: a history that has just been opened is not taken for the lost one

Change: the claim is read first and taken by that version; a rebuilding ends if a later history than the lost one is open.

--- a/spurarch/recovery/claim.py
+++ b/spurarch/recovery/claim.py
@@ -71,8 +71,11 @@
             self.record = None  # nonsense: it may be written over
 
     async def take(self, name: str) -> bool:
-        """Claims the rebuilding if nobody has it, or whoever had it is silent."""
-        await self.read()
+        """Claims the rebuilding if nobody has it, or whoever had it is silent, by what was read last.
+
+        That read has to come before the one that shows which history is open: a rebuilding that ends between the two
+        changes the claim, and its history must not be taken for the lost one.
+        """
         silent = time.monotonic() - self._unchanged_since > SILENT_S
         free = self.record is None or self.record.step == FINISHED
         if not free and not self.mine and not silent:
--- a/spurarch/recovery/rebuild.py
+++ b/spurarch/recovery/rebuild.py
@@ -18,7 +18,7 @@
 from spurarch.protocol import recovery_messages, wire
 from spurarch.protocol.recovery_messages import ReportsPage, ReportsRequest
 from spurarch.recovery import copies
-from spurarch.recovery.claim import FINISHED, HEARTBEAT_S, RebuildClaim
+from spurarch.recovery.claim import FINISHED, HEARTBEAT_S, ClaimLostError, RebuildClaim
 from spurarch.recovery.collector import ReportCollector
 from spurarch.recovery.evidence import Evidence, Source, SourceKind
 from spurarch.recovery.merge import Merger, Picture, highest_epoch, machines_on_record
@@ -158,6 +158,8 @@
         guards = [wire.Guard(REBUILD + self._name, 0)]
         for name in dict.fromkeys(h.name for h in (current, lost) if h is not None):
             marker = await store.get(OPEN + name)
+            if marker is not None and self._lost is not None and lost.number > self._lost.number:
+                raise ClaimLostError(f"history {lost.number} is open by now")
             if marker is not None:
                 changes.append(wire.Delete(OPEN + name))
                 guards.append(wire.Guard(OPEN + name, marker.version))
--- a/spurarch/recovery/service.py
+++ b/spurarch/recovery/service.py
@@ -230,6 +230,7 @@
 
     async def _look_while_closed(self) -> None:
         """Moves on if another history is open; rebuilds if nobody does."""
+        await self._claim.read()
         item = await self._store.get(CURRENT)
         current = decode_history(item.value) if item is not None else None
         if current is not None and current.name != self._guard.record.name:
