--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -106,6 +106,7 @@
         self.earlier: set[str] = set()  # controllers of the version before gangs
         self.tuning = Tuning()
         self.count = 3
+        self.page_items = 1000  # of the state service
         self.running: dict[str, Any] = {}
         self.controllers: dict[str, Controller] = {}
         self.networks: dict[str, SimNetwork] = {}
@@ -121,6 +122,7 @@
             self._set_up(words, kinds, machines)
         self.nodes = [(f"n{i}", f"10.0.0.{i + 1}:8080") for i in range(self.count)]
         self.store = FakeStore(self.clock, Random(seed + 1), self.limits["rps"], self.limits["write_rps"], 8.0, 24)
+        self.store.page_items = self.page_items
         self.world = World(
             self.clock, self.wire, self.limits["report_s"], self.limits["lease_s"], self.limits["cancel_s"]
         )  # fmt: skip
@@ -152,6 +154,8 @@
             self.next_limits = NextStateLimits(
                 None, float(opts["write_rps"]), float(opts["value_kb"]), int(opts["txn_ops"])
             )  # fmt: skip
+        elif words[0] == "page-items":
+            self.page_items = int(words[1])
         elif words[0] == "earlier":
             self.earlier.update(words[1:])
         elif words[0] == "tuning":
@@ -256,6 +260,14 @@
             self.store.outage(float(opts["for"]))
         elif action == "refuse":
             self.store.refused[args[0]] = now + float(opts["for"])
+        elif action == "slow-writes":  # transactions that write a key with that beginning
+            self.store.slow_writes[args[0]] = now + float(opts["for"]), float(opts["by"])
+        elif action == "slow-pages":  # lists of keys that a controller reads
+            self.store.slow_pages[args[0]] = float(opts["by"])
+        elif action == "too-old":  # the watches of a controller wait, and their revision is too old by then
+            self.store.too_old[args[0]] = now + float(opts["for"])
+        elif action == "no-watch":  # the watches of a controller are over the rate
+            self.store.no_watch[args[0]] = now + float(opts["for"])
         elif action == "slow-store":
             self.store.slow_until, self.store.slow_s = now + float(opts["for"]), float(opts["by"])
         elif action == "repeat-all":  # late copies of all transactions; machines that come back so are checked for
@@ -349,6 +361,8 @@
             return any(t.name.startswith(args[0] + "/") and t.state == "gathering" for _, t in self.world.on_machines())
         if kind == "answered":  # a user got that status
             return int(args[0]) in self.answers
+        if kind == "known":  # the copy of a controller has the job
+            return args[1] in self.controllers[args[0]].replica.state.jobs
         if kind == "loaded":
             return args[0] in self.running and self.controllers[args[0]].replica.loaded
         raise ValueError(f"unknown state of things: {words}")
--- a/tests/sim/store.py
+++ b/tests/sim/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from random import Random
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -20,6 +21,10 @@
     return Response(status, json.dumps(body).encode())
 
 
+def _begins(start: str) -> Callable[[str], bool]:
+    return lambda key: key.startswith(start)
+
+
 class FakeStore:
     """Keys, leases, transactions and watches, with the published limits."""
 
@@ -40,6 +45,12 @@
         self.late_refused = 0  # those that did not
         self.throttled = 0
         self.faults: list[str] = []
+        self.page_items = 1000
+        self.slow_writes: dict[str, tuple[float, float]] = {}  # by beginning of a key: until when, seconds
+        self.slow_pages: dict[str, float] = {}  # by host: seconds
+        self.too_old: dict[str, float] = {}  # by host: its watches wait until then, and their revision is too old by then
+        self.kept_from: dict[str, int] = {}  # by host: the oldest revision that its watches may begin from
+        self.no_watch: dict[str, float] = {}  # by host: its watches are over the rate until then
         self._carried: list[dict[str, Any]] = []  # transactions that changed something
         self.repeated: dict[str, int] = {}  # by the beginning of a key, transactions that created one and were repeated
         self._rates = {"requests": (rps, rps, clock.now), "writes": (write_rps, write_rps, clock.now)}
@@ -101,6 +112,10 @@
                 await curio.sleep(self.slow_s)
             if not self._take("requests", 1):
                 return answer(429, {"error": "rate"})
+            if url.path == "/txn" and self.slow_writes:
+                await curio.sleep(self._slow_write_s(request))
+            if url.path == "/kv" and host in self.slow_pages:
+                await curio.sleep(self.slow_pages[host])
             if url.path == "/txn" and self.clock.now < self.late_until and self.random.random() < self.late_share:
                 await curio.spawn(self._carry_out_late, request, daemon=True)
                 await curio.sleep(60)
@@ -111,6 +126,15 @@
 
         return handle
 
+    def _slow_write_s(self, request: Request) -> float:
+        """How long a transaction waits before it is carried out, by the keys that it writes."""
+        now = self.clock.now
+        written = [change.get("write", "") for change in json.loads(request.body)["then"]]
+        return max(
+            (by for start, (until, by) in self.slow_writes.items() if now < until and any(map(_begins(start), written))),
+            default=0.0,
+        )
+
     def lower_limits(self, write_rps: float, value_kb: float, txn_ops: int) -> None:
         """From now on less is taken; what is stored stays."""
         self._rates["writes"] = write_rps, min(write_rps, self._rates["writes"][1]), self.clock.now
@@ -151,7 +175,7 @@
 
     def _list(self, query: dict[str, str]) -> Response:
         names = sorted(k for k in self.keys if k.startswith(query.get("prefix", "")) and k > query.get("from", ""))
-        most = min(1000, int(query.get("most", 1000)))
+        most = min(self.page_items, int(query.get("most", 1000)))
         items = [{"key": k, "value": self.keys[k][0], "stamp": self.keys[k][1]} for k in names[:most]]
         return answer(200, {"items": items, "has_next": len(names) > most, "ledger": self.revision})
 
@@ -206,7 +230,7 @@
         return again
 
     async def _watch(self, host: str, query: dict[str, str]) -> Response:
-        if not self._take("requests", 1):
+        if not self._take("requests", 1) or self.clock.now < self.no_watch.get(host, 0.0):
             return answer(429, {"error": "rate"})
         after, end = int(query["from"]), self.clock.now + int(query.get("wait_ms", 0)) / 1000
         while self.revision <= after and self.clock.now < end:
@@ -214,7 +238,12 @@
             self.expire()
         while self.clock.now < max(self.outage_until, self.refused.get(host, 0.0)):
             await curio.sleep(0.05)
-        if after < self.revision - 10_000:
+        while host in self.too_old:
+            await curio.sleep(0.05)
+            if self.clock.now >= self.too_old.get(host, float("inf")):
+                del self.too_old[host]
+                self.kept_from[host] = self.revision
+        if after < max(self.revision - 10_000, self.kept_from.get(host, 0)):
             return answer(410, {})
         news = [event for revision, event in self.events if revision > after]
         return answer(200, {"ledger": self.revision, "news": news})
