Admissions are written by a module of their own; no behaviour changed

leader.py held rounds, admissions, ends and the cloud. What turns a plan into transactions is now admission_writer.py, as the place where a team's total has to be asked before each commit.

--- /dev/null
+++ b/spurarch/coordination/admission_writer.py
@@ -0,0 +1,165 @@
+"""Carries out a plan of admissions: which records it writes, in which transactions, and whether it still stands."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from spurarch.coordination.admission import Grant
+from spurarch.coordination.allocation_changes import live
+from spurarch.coordination.membership import Membership
+from spurarch.coordination.view import FleetView
+from spurarch.settings import StateLimits
+from spurarch.storage import records
+from spurarch.storage.limits import Urgency
+from spurarch.storage.records import AdmissionRecord, AllocationKey, AllocationRecord, TaskEntry
+from spurarch.storage.replica import Replica, Write
+from spurarch.storage.store import Verdict
+
+log = logging.getLogger(__name__)
+
+
+class AdmissionWriter:
+    """Turns grants into transactions that guard the leader's record, the jobs and their counts."""
+
+    def __init__(
+        self, replica: Replica, membership: Membership, view: FleetView, limits: StateLimits,
+        wake: Callable[[], Awaitable[None]],
+    ) -> None:  # fmt: skip
+        self.replica, self.membership, self.view = replica, membership, view
+        self._wake = wake
+        self._admitting = False  # arrays, in a transaction that is under way
+        self._chunk = records.tasks_per_record(limits.value_bytes)
+        self._most_changes = limits.transaction_changes
+
+    def as_planned(self, ref: str) -> dict[str, int]:
+        """Versions of what an admission of the job is decided by.
+
+        A plan may wait while an earlier one is carried out: tasks that this one moved are somewhere else by then, and
+        moving them again would run them twice.
+        """
+        state = self.replica.state
+        keys = [records.ADMISSION + ref, *(str(where) for where in state.allocations.get(ref, {}))]
+        return {key: state.version(key) for key in keys}
+
+    async def admit_beside(self, grants: list[Grant], planned: dict[str, dict[str, int]]) -> None:
+        """Admits arrays beside the rounds.
+
+        They may stand in line for long, and replicas and gangs must not wait with them.
+        """
+        if grants and not self._admitting:
+            self._admitting = True
+            await curio.spawn(self._admit_arrays, grants, planned, daemon=True)
+
+    async def _admit_arrays(self, grants: list[Grant], planned: dict[str, dict[str, int]]) -> None:
+        try:
+            await self.admit(grants, planned, Urgency.STARTS)
+        except curio.CancelledError:
+            raise
+        except Exception:  # must not end the controller
+            log.exception("admission failed")
+        finally:
+            self._admitting = False
+
+    async def admit(self, grants: list[Grant], planned: dict[str, dict[str, int]], urgency: Urgency) -> None:
+        """Carries out grants whose plan still stands, in as few transactions as the limits allow."""
+        by_job: dict[str, list[Grant]] = {}
+        for grant in grants:
+            by_job.setdefault(grant.job, []).append(grant)
+        batch: list[Write] = []
+        jobs: list[str] = []
+        size = 0
+        for ref, mine in by_job.items():
+            if not live(self.replica.state, ref) or not self._stands(ref, mine, planned[ref]):
+                continue
+            writes = self._admission_writes(ref, mine)
+            length = sum(records.change_bytes(w.record) for w in writes)
+            if batch and (len(batch) + len(writes) > self._most_changes or size + length > records.TXN_BYTES):
+                await self._commit(batch, jobs, urgency)
+                batch, jobs, size = [], [], 0
+                if not live(self.replica.state, ref) or not self._stands(ref, mine, planned[ref]):
+                    continue
+                writes = self._admission_writes(ref, mine)
+            batch += writes
+            size += length
+            jobs.append(ref)
+        if batch:
+            await self._commit(batch, jobs, urgency)
+
+    def _stands(self, ref: str, grants: list[Grant], planned: dict[str, int]) -> bool:
+        """What the plan for a job was decided by has not changed: its count, and the allocations that lose tasks."""
+        state = self.replica.state
+        keys = {records.ADMISSION + ref, *(str(source) for grant in grants for source in grant.moved)}
+        return all(state.version(key) == planned.get(key, 0) for key in keys)
+
+    def _admission_writes(self, ref: str, grants: list[Grant]) -> list[Write]:
+        """The job's count, its new allocations, and the old ones that lose tasks; as many as one transaction takes.
+
+        A job that is admitted as a whole needs no count: its allocations stay until it is over, and a late repeat of
+        the transaction that made them finds them there.
+        """
+        state = self.replica.state
+        known = state.admitted.get(ref)
+        there = state.allocations.get(ref, {})
+        if known is None and there:
+            known = AdmissionRecord(state.jobs[ref].spec.tasks, max(where.chunk for where in there) + 1)
+        chunks, first = (known.chunks, known.next) if known is not None else (0, 0)
+        most = self._most_changes - 2
+        allocations: list[tuple[AllocationKey, list[TaskEntry]]] = []
+        moved: dict[AllocationKey, set[int]] = {}
+        fresh: set[int] = set()
+        for grant in grants:
+            moved_here = {index for indices in grant.moved.values() for index in indices}
+            for at in range(0, len(grant.entries), self._chunk):
+                piece = grant.entries[at : at + self._chunk]
+                sources = {s for s, indices in grant.moved.items() if any(e.index in indices for e in piece)}
+                if len(allocations) + 1 + sum(map(self._pieces, sources | set(moved))) > most:
+                    break
+                where = AllocationKey(self.view.zones.name(grant.zone), ref, chunks)
+                chunks += 1
+                allocations.append((where, piece))
+                taken = {e.index for e in piece}
+                fresh |= taken - moved_here
+                for source in sources:
+                    moved.setdefault(source, set()).update(taken & grant.moved[source])
+        # New tasks are admitted in order: what did not fit into the transaction must not leave a hole.
+        while first in fresh:
+            fresh.discard(first)
+            first += 1
+        kept = [(where, [e for e in entries if e.index not in fresh]) for where, entries in allocations]
+        writes = [Write(str(where), AllocationRecord(entries)) for where, entries in kept if entries]
+        if known is None and not moved and first == state.jobs[ref].spec.tasks:
+            return writes
+        return [Write(records.ADMISSION + ref, AdmissionRecord(first, chunks)), *writes, *self._shrunk(moved)]
+
+    def _pieces(self, source: AllocationKey) -> int:
+        """How many changes it takes at most to write a record again."""
+        return records.pieces_of(self.replica.state.allocations[source.job][source], self._chunk)
+
+    def _shrunk(self, moved: dict[AllocationKey, set[int]]) -> list[Write]:
+        out: list[Write] = []
+        for source, indices in moved.items():
+            record = self.replica.state.allocations[source.job][source]
+            left = [e for e in record.tasks if e.index not in indices]
+            if left:
+                out += [
+                    Write(str(where), piece)
+                    for where, piece in records.split(source, AllocationRecord(left), self._chunk)
+                ]
+            else:
+                out.append(Write(str(source), None))
+        return out
+
+    async def _commit(self, writes: list[Write], jobs: list[str], urgency: Urgency) -> None:
+        # The count is guarded also where it is not written: once there is one, a late repeat of the transaction that
+        # admitted a job as a whole does nothing, whatever has become of its allocations.
+        guards = {records.LEADER, *(records.JOB + ref for ref in jobs), *(records.ADMISSION + ref for ref in jobs)}
+        if not self.membership.leading:
+            return
+        outcome = await self.replica.commit(writes, guards, urgency=urgency)
+        if outcome.verdict is Verdict.DONE:
+            await self._wake()
+        elif outcome.verdict is not Verdict.REFUSED:
+            log.info("leader transaction: %s %s", outcome.verdict.value, outcome.failed)
--- a/tests/sim/store.py
+++ b/tests/sim/store.py
@@ -48,7 +48,9 @@
         self.page_items = 1000
         self.slow_writes: dict[str, tuple[float, float]] = {}  # by beginning of a key: until when, seconds
         self.slow_pages: dict[str, float] = {}  # by host: seconds
-        self.too_old: dict[str, float] = {}  # by host: its watches wait until then, and their revision is too old by then
+        self.too_old: dict[
+            str, float
+        ] = {}  # by host: its watches wait until then, and their revision is too old by then
         self.kept_from: dict[str, int] = {}  # by host: the oldest revision that its watches may begin from
         self.no_watch: dict[str, float] = {}  # by host: its watches are over the rate until then
         self._carried: list[dict[str, Any]] = []  # transactions that changed something
@@ -131,7 +133,11 @@
         now = self.clock.now
         written = [change.get("write", "") for change in json.loads(request.body)["then"]]
         return max(
-            (by for start, (until, by) in self.slow_writes.items() if now < until and any(map(_begins(start), written))),
+            (
+                by
+                for start, (until, by) in self.slow_writes.items()
+                if now < until and any(map(_begins(start), written))
+            ),
             default=0.0,
         )
 
--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -8,8 +8,10 @@
 import curio
 
 from spurarch.coordination.admission import Grant
+from spurarch.coordination.admission_writer import AdmissionWriter
 from spurarch.coordination.leader import Leader
 from spurarch.protocol import wire
+from spurarch.settings import StateLimits
 from spurarch.storage import records
 from spurarch.storage.records import AllocationKey, AllocationRecord, FinalRecord, JobRecord, TaskEntry
 from tests.sim.clock import Clock
@@ -24,11 +26,21 @@
     leader.replica = SimpleNamespace(state=fleet.state)  # type: ignore[assignment]
     leader.view = fleet.view
     leader.deployment = SimpleNamespace(state=SimpleNamespace(txn_ops=24))  # type: ignore[assignment]
-    leader._chunk = 100
     leader._most_changes = 24
     return leader
 
 
+def writer_of(fleet: Fleet) -> AdmissionWriter:
+    """What decides which records an admission writes, without a state service."""
+
+    async def wake() -> None:
+        """Nobody to wake."""
+
+    replica: Any = SimpleNamespace(state=fleet.state)
+    membership: Any = SimpleNamespace(leading=True)
+    return AdmissionWriter(replica, membership, fleet.view, StateLimits(100.0, 100.0, 16.0, 24), wake)
+
+
 def test_tasks_that_an_earlier_plan_moved_are_not_moved_again() -> None:
     """On a standard day 29 tasks ran twice.
 
@@ -40,14 +52,14 @@
     returned = [TaskEntry(n, records.RETURNED, 1) for n in range(2)]
     fleet.put(str(SOURCE), AllocationRecord([*returned, TaskEntry(2, records.ASSIGNED, 1, "vm-1", 1)]))
     fleet.view.update()
-    leader = leader_of(fleet)
+    writer = writer_of(fleet)
     grant = Grant("job-1", fleet.view.zones.index("b"), [TaskEntry(0, records.FREE, 1)], {SOURCE: {0}})
-    planned = leader._as_planned("job-1")
-    assert leader._stands("job-1", [grant], planned)
-    for write in leader._admission_writes("job-1", [grant]):
+    planned = writer.as_planned("job-1")
+    assert writer._stands("job-1", [grant], planned)
+    for write in writer._admission_writes("job-1", [grant]):
         fleet.put(write.key, write.record)
-    assert not leader._stands("job-1", [grant], planned)
-    assert leader._stands("job-1", [], leader._as_planned("job-1"))
+    assert not writer._stands("job-1", [grant], planned)
+    assert writer._stands("job-1", [], writer.as_planned("job-1"))
 
 
 def test_a_gang_is_done_once_a_member_is_and_none_is_left_on_a_machine() -> None:
