A team's total is asked again, and reserved, as each admission is committed

Arrays are admitted beside the leader's rounds, and later rounds planned by totals without them: 8 of 4 CPUs of a team in use (team-limit-array-waits). Charges are now owned by one ledger, in whole billionths: tasks on record, and reservations of admissions under way. Each commit reserves first, in the step in which it is sent; a reservation goes once the copy shows what became of it, so a lost answer stays charged, and a plan or a later batch that was overtaken finds the team full. The commit guards the leader's record as the reservation saw it.

--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -12,6 +12,7 @@
 from itertools import islice
 
 from spurarch.coordination.best_fit import EPSILON, PRIORITIES, Draft, Need, Room, all_fit, best_fit, fill
+from spurarch.coordination.team_ledger import NOTHING, Charge
 from spurarch.coordination.view import FleetView, JobView
 from spurarch.storage import records
 from spurarch.storage.records import AllocationKey, TaskEntry
@@ -78,8 +79,7 @@
         for room in self.rooms:
             if room.free_cpus > EPSILON:
                 self._roomy[room.zone].append(room)
-        self.cpus = dict(view.cpus_used)
-        self.gpus = dict(view.gpus_used)
+        self._planned: dict[int, Charge] = {}  # by team, beyond what is on record and under way
         self._queue: dict[int, float] = defaultdict(float)  # by zone, CPUs of admitted tasks that wait for room
         self._ahead: dict[int, float] = defaultdict(float)  # by zone, CPUs freed in `ahead_s`
         self._borrowed: dict[int, float] | None = None
@@ -165,15 +165,13 @@
 
     def _allowance(self, job: JobView) -> int:
         """How many more tasks the team's limit allows."""
-        team = self.view.limits.get(job.team)
-        if team is None:
-            return 0
-        most = job.tasks
-        if team.cpus_max > 0 and job.need.cpus > 0:
-            most = min(most, int((team.cpus_max - self.cpus.get(job.team, 0.0) + EPSILON) / job.need.cpus))
-        if team.gpus_max > 0 and job.need.gpus > 0:
-            most = min(most, int((team.gpus_max - self.gpus.get(job.team, 0.0) + EPSILON) / job.need.gpus))
-        return max(0, most)
+        beside = self._planned.get(job.team, NOTHING) - self.view.ledger.reserved_for(job.ref)
+        return self.view.ledger.tasks_allowed(job.team, job.charge_each, job.tasks, beside)
+
+    def _book(self, job: JobView, tasks: int) -> None:
+        """Counts planned tasks towards their team; an admission of the job that is under way is planned again here."""
+        planned = Charge.of(job.need.cpus, job.need.gpus, tasks).beyond(self.view.ledger.reserved_for(job.ref))
+        self._planned[job.team] = self._planned.get(job.team, NOTHING) + planned
 
     def _pending(self, job: JobView) -> Iterable[tuple[TaskEntry, AllocationKey | None]]:
         """Tasks to place: those that parts returned, then new ones in order of their index."""
@@ -204,8 +202,7 @@
             zones = self._one_by_one(job, home, allowed) if spread else self._as_group(job, home, allowed)
         placed = sum(zones.values())
         self._short(plan, job, self._late + allowed - placed)
-        self.cpus[job.team] = self.cpus.get(job.team, 0.0) + placed * job.need.cpus
-        self.gpus[job.team] = self.gpus.get(job.team, 0.0) + placed * job.need.gpus
+        self._book(job, placed)
         if len(plan.grants) + len(zones) > most_grants and plan.grants:
             return  # booked, so that nobody else counts on the room, and granted in a later round
         pending = iter(self._pending(job))
--- a/spurarch/coordination/admission_writer.py
+++ b/spurarch/coordination/admission_writer.py
@@ -4,23 +4,61 @@
 
 import logging
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 
 import curio
 
 from spurarch.coordination.admission import Grant
 from spurarch.coordination.allocation_changes import live
 from spurarch.coordination.membership import Membership
+from spurarch.coordination.team_ledger import Reservation
 from spurarch.coordination.view import FleetView
 from spurarch.settings import StateLimits
 from spurarch.storage import records
 from spurarch.storage.limits import Urgency
 from spurarch.storage.records import AdmissionRecord, AllocationKey, AllocationRecord, TaskEntry
 from spurarch.storage.replica import Replica, Write
-from spurarch.storage.store import Verdict
+from spurarch.storage.store import Outcome, Verdict
 
 log = logging.getLogger(__name__)
 
 
+@dataclass(slots=True)
+class JobAdmission:
+    """The records that the admission of one job writes."""
+
+    job: str
+    tasks: int  # that its team is charged with from then on
+    writes: list[Write]
+
+    @property
+    def length(self) -> int:
+        """About how many bytes they take."""
+        return sum(records.change_bytes(write.record) for write in self.writes)
+
+
+@dataclass(slots=True)
+class _Batch:
+    """Admissions that go out in one transaction."""
+
+    changes: list[JobAdmission] = field(default_factory=list)
+
+    @property
+    def writes(self) -> list[Write]:
+        """All records that it writes."""
+        return [write for change in self.changes for write in change.writes]
+
+    def takes(self, change: JobAdmission, most_changes: int) -> bool:
+        """Whether there is room for one more job."""
+        changes = len(self.writes) + len(change.writes)
+        length = sum(other.length for other in self.changes) + change.length
+        return not self.changes or (changes <= most_changes and length <= records.TXN_BYTES)
+
+    def add(self, change: JobAdmission) -> None:
+        """Takes a job in."""
+        self.changes.append(change)
+
+
 class AdmissionWriter:
     """Turns grants into transactions that guard the leader's record, the jobs and their counts."""
 
@@ -31,7 +69,7 @@
         self.replica, self.membership, self.view = replica, membership, view
         self._wake = wake
         self._admitting = False  # arrays, in a transaction that is under way
-        self._chunk = records.tasks_per_record(limits.value_bytes)
+        self._record_tasks = records.tasks_per_record(limits.value_bytes)
         self._most_changes = limits.transaction_changes
 
     def as_planned(self, ref: str) -> dict[str, int]:
@@ -68,25 +106,23 @@
         by_job: dict[str, list[Grant]] = {}
         for grant in grants:
             by_job.setdefault(grant.job, []).append(grant)
-        batch: list[Write] = []
-        jobs: list[str] = []
-        size = 0
+        batch = _Batch()
         for ref, mine in by_job.items():
-            if not live(self.replica.state, ref) or not self._stands(ref, mine, planned[ref]):
-                continue
-            writes = self._admission_writes(ref, mine)
-            length = sum(records.change_bytes(w.record) for w in writes)
-            if batch and (len(batch) + len(writes) > self._most_changes or size + length > records.TXN_BYTES):
-                await self._commit(batch, jobs, urgency)
-                batch, jobs, size = [], [], 0
-                if not live(self.replica.state, ref) or not self._stands(ref, mine, planned[ref]):
-                    continue
-                writes = self._admission_writes(ref, mine)
-            batch += writes
-            size += length
-            jobs.append(ref)
-        if batch:
-            await self._commit(batch, jobs, urgency)
+            change = self._change(ref, mine, planned[ref])
+            if change is not None and not batch.takes(change, self._most_changes):
+                await self._commit(batch, urgency)
+                batch = _Batch()
+                change = self._change(ref, mine, planned[ref])
+            if change is not None:
+                batch.add(change)
+        if batch.changes:
+            await self._commit(batch, urgency)
+
+    def _change(self, ref: str, grants: list[Grant], planned: dict[str, int]) -> JobAdmission | None:
+        """What the admission of one job writes; None if its plan does not stand any more."""
+        if not live(self.replica.state, ref) or not self._stands(ref, grants, planned):
+            return None
+        return self._job_admission(ref, grants)
 
     def _stands(self, ref: str, grants: list[Grant], planned: dict[str, int]) -> bool:
         """What the plan for a job was decided by has not changed: its count, and the allocations that lose tasks."""
@@ -94,7 +130,7 @@
         keys = {records.ADMISSION + ref, *(str(source) for grant in grants for source in grant.moved)}
         return all(state.version(key) == planned.get(key, 0) for key in keys)
 
-    def _admission_writes(self, ref: str, grants: list[Grant]) -> list[Write]:
+    def _job_admission(self, ref: str, grants: list[Grant]) -> JobAdmission:
         """The job's count, its new allocations, and the old ones that lose tasks; as many as one transaction takes.
 
         A job that is admitted as a whole needs no count: its allocations stay until it is over, and a late repeat of
@@ -112,8 +148,8 @@
         fresh: set[int] = set()
         for grant in grants:
             moved_here = {index for indices in grant.moved.values() for index in indices}
-            for at in range(0, len(grant.entries), self._chunk):
-                piece = grant.entries[at : at + self._chunk]
+            for at in range(0, len(grant.entries), self._record_tasks):
+                piece = grant.entries[at : at + self._record_tasks]
                 sources = {s for s, indices in grant.moved.items() if any(e.index in indices for e in piece)}
                 if len(allocations) + 1 + sum(map(self._pieces, sources | set(moved))) > most:
                     break
@@ -129,14 +165,16 @@
             fresh.discard(first)
             first += 1
         kept = [(where, [e for e in entries if e.index not in fresh]) for where, entries in allocations]
+        tasks = sum(len(entries) for _, entries in kept)
         writes = [Write(str(where), AllocationRecord(entries)) for where, entries in kept if entries]
         if known is None and not moved and first == state.jobs[ref].spec.tasks:
-            return writes
-        return [Write(records.ADMISSION + ref, AdmissionRecord(first, chunks)), *writes, *self._shrunk(moved)]
+            return JobAdmission(ref, tasks, writes)
+        count = Write(records.ADMISSION + ref, AdmissionRecord(first, chunks))
+        return JobAdmission(ref, tasks, [count, *writes, *self._shrunk(moved)])
 
     def _pieces(self, source: AllocationKey) -> int:
         """How many changes it takes at most to write a record again."""
-        return records.pieces_of(self.replica.state.allocations[source.job][source], self._chunk)
+        return records.pieces_of(self.replica.state.allocations[source.job][source], self._record_tasks)
 
     def _shrunk(self, moved: dict[AllocationKey, set[int]]) -> list[Write]:
         out: list[Write] = []
@@ -146,20 +184,60 @@
             if left:
                 out += [
                     Write(str(where), piece)
-                    for where, piece in records.split(source, AllocationRecord(left), self._chunk)
+                    for where, piece in records.split(source, AllocationRecord(left), self._record_tasks)
                 ]
             else:
                 out.append(Write(str(source), None))
         return out
 
-    async def _commit(self, writes: list[Write], jobs: list[str], urgency: Urgency) -> None:
-        # The count is guarded also where it is not written: once there is one, a late repeat of the transaction that
-        # admitted a job as a whole does nothing, whatever has become of its allocations.
-        guards = {records.LEADER, *(records.JOB + ref for ref in jobs), *(records.ADMISSION + ref for ref in jobs)}
+    async def _commit(self, batch: _Batch, urgency: Urgency) -> None:
+        """Commits what the teams' limits allow at this moment; from here to the state service nothing else is decided."""
         if not self.membership.leading:
             return
-        outcome = await self.replica.commit(writes, guards, urgency=urgency)
+        self.view.update()
+        term = self.replica.state.version(records.LEADER)
+        reservations = self._reserve(batch, term)
+        if not batch.changes:
+            return
+        # The count is guarded also where it is not written: once there is one, a late repeat of the transaction that
+        # admitted a job as a whole does nothing, whatever has become of its allocations.
+        guards = {key for c in batch.changes for key in (records.JOB + c.job, records.ADMISSION + c.job)}
+        outcome = await self.replica.commit(batch.writes, guards, urgency=urgency, pinned={records.LEADER: term})
+        self._settle(reservations, outcome)
         if outcome.verdict is Verdict.DONE:
             await self._wake()
         elif outcome.verdict is not Verdict.REFUSED:
             log.info("leader transaction: %s %s", outcome.verdict.value, outcome.failed)
+
+    def _reserve(self, batch: _Batch, term: int) -> list[Reservation]:
+        """Charges the batch to its teams; what a limit does not allow any more leaves the batch, to be planned again."""
+        ledger, kept, reservations = self.view.ledger, [], []
+        for change in batch.changes:
+            job = self.view.jobs[change.job]
+            reservation = ledger.reserve(change.job, job.team, job.charge_each, change.tasks, term)
+            team = self.view.teams.name(job.team)
+            log.info(
+                "%s %d tasks of %s: term %d, revision %d, team %s: %s",
+                "not admitting" if reservation is None else "admitting", change.tasks, change.job, term,
+                self.replica.state.revision, team, ledger.describe(job.team),
+            )  # fmt: skip
+            if reservation is None:
+                continue
+            kept.append(change)
+            reservations.append(reservation)
+        batch.changes = kept
+        return reservations
+
+    def _settle(self, reservations: list[Reservation], outcome: Outcome) -> None:
+        """Releases reservations once the table shows what became of the transaction; until then they stand.
+
+        A conflict may mean that an earlier copy of the transaction was carried out whose answer was lost.
+        """
+        self.view.update()
+        certain = outcome.verdict not in (Verdict.CONFLICT, Verdict.UNKNOWN)
+        shown = outcome.verdict is Verdict.CONFLICT and outcome.revision <= self.replica.state.revision
+        for reservation in reservations:
+            if certain or shown:
+                self.view.ledger.release(reservation)
+            elif outcome.verdict is Verdict.CONFLICT:
+                reservation.shown_by = outcome.revision
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -103,6 +103,9 @@
         share = self.deployment.limits.cpu
         budget = RoundBudget(self.tuning.budget_ms / 1000, share)
         self.view.update()
+        term = self.replica.state.version(records.LEADER)
+        if self.replica.state.revision >= term:
+            self.view.ledger.release_shown(self.replica.state.revision, term)
         self._settle_booting()
         coming = [
             room_of(self.view, self.view.offers[b.kind.type], b.kind)
--- /dev/null
+++ b/spurarch/coordination/team_ledger.py
@@ -0,0 +1,133 @@
+"""What each team is charged with: tasks on record, and tasks of admissions under way. Limits are decided here alone.
+
+Guards against a total that is decided twice: a plan is made by the totals of one moment and carried out later, while other
+plans are made and carried out (docs/incidents/2026-12-02-team-limit.md). So whoever commits an admission reserves its
+tasks here first, in the same step, and the reservation stands until the copy of the records shows what became of it.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+
+from spurarch.settings import Team
+
+log = logging.getLogger(__name__)
+
+UNITS = 1_000_000_000  # of a CPU or GPU; sums of integers neither drift nor depend on their order
+
+
+@dataclass(frozen=True, slots=True)
+class Charge:
+    """CPUs and GPUs, in billionths."""
+
+    cpus: int = 0
+    gpus: int = 0
+
+    @staticmethod
+    def of(cpus: float, gpus: float, tasks: int = 1) -> Charge:
+        """What a number of equal tasks is charged with."""
+        return Charge(round(cpus * UNITS) * tasks, round(gpus * UNITS) * tasks)
+
+    def __add__(self, other: Charge) -> Charge:
+        """Both together."""
+        return Charge(self.cpus + other.cpus, self.gpus + other.gpus)
+
+    def __sub__(self, other: Charge) -> Charge:
+        """What is left of this without the other; may be negative."""
+        return Charge(self.cpus - other.cpus, self.gpus - other.gpus)
+
+    def beyond(self, other: Charge) -> Charge:
+        """How much more this is, of each resource."""
+        return Charge(max(0, self.cpus - other.cpus), max(0, self.gpus - other.gpus))
+
+    def __str__(self) -> str:
+        """As it stands in lines of log."""
+        text = f"{self.cpus / UNITS:g} CPUs"
+        return f"{text}, {self.gpus / UNITS:g} GPUs" if self.gpus else text
+
+
+NOTHING = Charge()
+
+
+@dataclass(eq=False, slots=True)
+class Reservation:
+    """Tasks of one job in an admission that is under way."""
+
+    job: str
+    team: int
+    charge: Charge
+    term: int  # version of the leader's record under which it is committed
+    shown_by: int | None = None  # the revision whose copy shows what became of it, once that is known
+
+
+class TeamLedger:
+    """Charges by team, as dense indices."""
+
+    def __init__(self, limits: dict[int, Team]) -> None:
+        self._limits = limits
+        self._recorded: dict[int, Charge] = {}
+        self._reserved: dict[int, Charge] = {}
+        self._reservations: list[Reservation] = []
+        self._stopped: dict[int, str] = {}
+        self.violations = 0  # since this process started
+
+    def recorded(self, team: int) -> Charge:
+        """What the team's tasks on record take."""
+        return self._recorded.get(team, NOTHING)
+
+    def reserved(self, team: int) -> Charge:
+        """What the team's admissions under way take."""
+        return self._reserved.get(team, NOTHING)
+
+    def reserved_for(self, job: str) -> Charge:
+        """What admissions under way of one job take."""
+        return sum((r.charge for r in self._reservations if r.job == job), NOTHING)
+
+    def change(self, team: int, charge: Charge) -> None:
+        """The records of a team's tasks changed."""
+        self._recorded[team] = self.recorded(team) + charge
+
+    def tasks_allowed(self, team: int, each: Charge, most: int, beside: Charge = NOTHING) -> int:
+        """How many more equal tasks the team's limit allows, `beside` what is on record and under way."""
+        limit = self._limits.get(team)
+        if limit is None or team in self._stopped:
+            return 0
+        total = self.recorded(team) + self.reserved(team) + beside
+        most_charge = Charge.of(limit.cpus_max, limit.gpus_max)
+        if most_charge.cpus > 0 and each.cpus > 0:
+            most = min(most, (most_charge.cpus - total.cpus) // each.cpus)
+        if most_charge.gpus > 0 and each.gpus > 0:
+            most = min(most, (most_charge.gpus - total.gpus) // each.gpus)
+        return max(0, most)
+
+    def reserve(self, job: str, team: int, each: Charge, tasks: int, term: int) -> Reservation | None:
+        """Charges the tasks of an admission that is about to be committed; None if the limit does not allow them."""
+        if self.tasks_allowed(team, each, tasks) < tasks:
+            return None
+        reservation = Reservation(job, team, Charge(each.cpus * tasks, each.gpus * tasks), term)
+        self._reservations.append(reservation)
+        self._reserved[team] = self.reserved(team) + reservation.charge
+        return reservation
+
+    def release(self, reservation: Reservation) -> None:
+        """The admission is on record and charged as that, or certainly never will be."""
+        if reservation in self._reservations:
+            self._reservations.remove(reservation)
+            self._reserved[reservation.team] = self.reserved(reservation.team) - reservation.charge
+
+    def release_shown(self, revision: int, term: int) -> None:
+        """Releases what a copy of the records at a revision, of at least this term, shows.
+
+        A transaction of an earlier term was carried out before this one began, or never will be.
+        """
+        for reservation in list(self._reservations):
+            shown = reservation.shown_by is not None and reservation.shown_by <= revision
+            if shown or reservation.term < term:
+                self.release(reservation)
+
+    def describe(self, team: int) -> str:
+        """The team's totals and limit, for a line of log."""
+        limit = self._limits.get(team)
+        most = Charge.of(limit.cpus_max, limit.gpus_max) if limit is not None else NOTHING
+        return f"charged {self.recorded(team)}, reserved {self.reserved(team)}, limit {most}"
--- a/spurarch/coordination/view.py
+++ b/spurarch/coordination/view.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from spurarch.coordination.best_fit import EPSILON, Need, Room
+from spurarch.coordination.team_ledger import Charge, TeamLedger
 from spurarch.protocol import wire
 from spurarch.protocol.names import Names
 from spurarch.settings import Objective, Team
@@ -58,6 +59,11 @@
         """Tasks that wait for admission."""
         return self.tasks - self.charged - self.ended
 
+    @property
+    def charge_each(self) -> Charge:
+        """What its team is charged with for each task."""
+        return Charge.of(self.need.cpus, self.need.gpus)
+
     @property
     def to_start(self) -> int:
         """Tasks that neither run nor have ended."""
@@ -98,10 +104,9 @@
         self.rooms: dict[int, Room] = {}
         self.zone_rooms: dict[int, dict[int, Room]] = defaultdict(dict)
         self.jobs: dict[str, JobView] = {}
-        self.cpus_used: dict[int, float] = defaultdict(float)  # by team, charged
-        self.gpus_used: dict[int, float] = defaultdict(float)
         self.running: dict[int, dict[int, float]] = defaultdict(lambda: defaultdict(float))  # by team and zone, CPUs
         self.limits: dict[int, Team] = {}
+        self.ledger = TeamLedger(self.limits)
         self.offers: dict[str, wire.MachineType] = {}
         self._booked: dict[AllocationKey, _Booked] = {}
         self._waiting: dict[AllocationKey, _Booked] = {}
@@ -320,8 +325,7 @@
         job.ended += sign * booked.ended
         job.assigned += sign * booked.assigned
         job.returned += sign * booked.returned
-        self.cpus_used[job.team] += sign * charged * job.need.cpus
-        self.gpus_used[job.team] += sign * charged * job.need.gpus
+        self.ledger.change(job.team, Charge.of(job.need.cpus, job.need.gpus, sign * charged))
         self.running[job.team][booked.zone] += sign * booked.assigned * job.need.cpus
         for machine, count in booked.on.items():
             assigned = self._assigned[machine]
--- a/spurarch/storage/replica.py
+++ b/spurarch/storage/replica.py
@@ -389,9 +389,12 @@
         absent: Iterable[str] = (),
         give_up_s: float | None = None,
         urgency: Urgency = Urgency.STARTS,
+        pinned: dict[str, int] | None = None,
     ) -> Outcome:
         """Commits writes if every written or guarded key still has the version known here.
 
+        `pinned` are further guards, with the versions that the caller decided by.
+
         A lost answer is settled by sending the same transaction again: whichever copy of it is executed first makes
         the other fail. So this returns UNKNOWN only when `give_up_s` has passed.
         """
@@ -404,6 +407,7 @@
         versions = {key: self.state.version(key) for key in guards}
         versions.update((write.key, self.state.version(write.key)) for write in writes)
         versions.update((key, 0) for key in absent)
+        versions.update(pinned or {})
         txn = wire.Txn(
             [wire.Guard(key, version) for key, version in versions.items()],
             [
