--- a/tests/sim/loopback.py
+++ b/tests/sim/loopback.py
@@ -29,6 +29,7 @@
 
 ROOT = Path(__file__).parent.parent.parent
 CONNECTIONS = 200
+UNREACHED = 0  # in the place of a status: no connection could be opened
 PR_SET_PDEATHSIG = 1  # of prctl(2)
 PLATFORM = """
 node = "{node}"
@@ -42,9 +43,7 @@
 [deployment]
 count = {count}
 zones = ["a", "b"]
-[[deployment.teams]]
-name = "t"
-cpus_max = {limit}
+{teams}
 [deployment.workers]
 report_s = {report_s}
 lease_s = {lease_s}
@@ -91,6 +90,11 @@
     def __init__(self) -> None:
         super().__init__()
         self.fresh: list[str] = []
+        self.remote: dict[str, Handler] = {}  # of other processes
+
+    def get(self, address: str, default: Any = None) -> Any:
+        """The server behind an address, wherever it runs."""
+        return super().get(address, self.remote.get(address, default))
 
     def __setitem__(self, address: str, handler: Handler) -> None:
         super().__setitem__(address, handler)
@@ -173,7 +177,7 @@
     cancel_s: float = 20.0
     rps: float = 1000.0
     write_rps: float = 500.0
-    limit: float = 200.0
+    teams: dict[str, float] = field(default_factory=lambda: {"t": 200.0})  # the most CPUs of each
     archive: bool = True
     seed: int = 1
     capacity: int = 40
@@ -188,6 +192,8 @@
     run_s: float
     kind: str = "batch"
     cpus: float = 1.0
+    team: str = "t"
+    priority: str = "normal"
 
 
 @dataclass
@@ -212,14 +218,15 @@
         self.log = OutcomeLog()
         self.wire: Any = LoopbackWire()
         s = settings
-        addresses = free_addresses(2 * s.controllers + 3)
-        self.state, self.cloud_address, self.archive_address = addresses[:3]
-        pairs = addresses[3:]
+        addresses = free_addresses(3 * s.controllers + 2)
+        self.cloud_address, self.archive_address = addresses[:2]
+        self.states = addresses[2 : 2 + s.controllers]  # the state service, as each controller reaches it
+        pairs = addresses[2 + s.controllers :]
         self.nodes = [(f"n{i}", pairs[2 * i]) for i in range(s.controllers)]
         self.backs = [pairs[2 * i + 1] for i in range(s.controllers)]
         self.store = FakeStore(self.clock, Random(s.seed + 1), s.rps, s.write_rps, 16.0, 24)
         self.world = LoggingWorld(self.log, self.clock, self.wire, s.report_s, s.lease_s, s.cancel_s)
-        self.world.limits = {"t": s.limit}
+        self.world.limits = dict(s.teams)
         self.cloud = FakeCloud(self.world, ["a", "b"], self.nodes, 0.2)
         kind = Kind("small", 4.0, 16.0, 0.5, s.capacity)
         self.cloud.kinds = {"small": kind}
@@ -233,20 +240,25 @@
 
     def _platform(self, index: int) -> Path:
         s = self.settings
+        teams = "".join(f'[[deployment.teams]]\nname = "{name}"\ncpus_max = {most}\n' for name, most in s.teams.items())
         peers = "".join(
-            f'[[siblings]]\nnode = "n{i}"\narea = "{"ab"[i % 2]}"\npeer_addr = "{self.backs[i]}"\n'
+            f'[[siblings]]\nnode = "n{i}"\narea = "{"ab"[i % 2]}"\npeer_addr = "{self.peer_address(index, i)}"\n'
             for i in range(s.controllers)
             if i != index
         )
         text = PLATFORM.format(
             node=f"n{index}", area="ab"[index % 2], public=self.nodes[index][1], back=self.backs[index], peers=peers,
-            cloud=self.cloud_address, state=self.state, count=s.controllers, limit=s.limit, report_s=s.report_s,
+            cloud=self.cloud_address, state=self.states[index], count=s.controllers, teams=teams, report_s=s.report_s,
             lease_s=s.lease_s, cancel_s=s.cancel_s, rps=s.rps, write_rps=s.write_rps,
         )  # fmt: skip
         path = self.directory / f"n{index}.toml"
         path.write_text(text)
         return path
 
+    def peer_address(self, index: int, other: int) -> str:
+        """Where one controller reaches another."""
+        return self.backs[other]
+
     def features(self) -> Path:
         """The operators' settings."""
         path = self.directory / "features.sexp"
@@ -256,10 +268,14 @@
         )
         return path
 
+    def _words(self, *words: str) -> list[str]:
+        """What Python runs."""
+        return [str(ROOT / "run.py"), *words]
+
     def _spawn(self, name: str, *words: str) -> None:
         with (self.directory / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, str(ROOT / "run.py"), *words], stderr=log, stdout=log, stdin=subprocess.DEVNULL,
+                [sys.executable, *self._words(*words)], stderr=log, stdout=log, stdin=subprocess.DEVNULL,
                 env=os.environ | {"LOG_LEVEL": "info"}, preexec_fn=_end_with_parent,
             )  # fmt: skip
 
@@ -294,7 +310,8 @@
 
     async def serve(self) -> None:
         """Runs the stand-ins until cancelled."""
-        self.wire.handlers[self.state] = self.store.handler_for("loopback")
+        for index, address in enumerate(self.states):
+            self.wire.handlers[address] = self.store.handler_for(f"n{index}")
         self.wire.handlers[self.cloud_address] = self.cloud.handle
         async with curio.TaskGroup(wait=any) as group:
             for task in (self.wire.run, self.cloud.run, self.world.watch):
@@ -312,18 +329,23 @@
             raise AssertionError(f"{' '.join(words)}: {text}")
         return text
 
-    async def submit(self, job: Job, until: float) -> None:
-        """A user: submits until accepted, then asks until the end."""
+    def describe(self, job: Job) -> bytes:
+        """The submission of a job, which workers know from then on."""
         spec = {
-            "ref": job.ref, "circuit": "c", "crew": "t", "gait": job.kind, "precedence": "normal", "legs": job.tasks,
-            "vcpus": job.cpus, "gpus": 0.0, "memory_gb": 0.5, "kit": "i", "pull_gb": 0.05, "builds": None,
-            "district": None, "together": False, "spread": False, "lendable": False, "reckon_s": job.run_s,
-            "waypoint_s": 0.0, "stow_s": 0.0, "cutoff_s": None,
+            "ref": job.ref, "circuit": "c", "crew": job.team, "gait": job.kind, "precedence": job.priority,
+            "legs": job.tasks, "vcpus": job.cpus, "gpus": 0.0, "memory_gb": 0.5, "kit": "i", "pull_gb": 0.05,
+            "builds": None, "district": None, "together": False, "spread": False, "lendable": False,
+            "reckon_s": job.run_s, "waypoint_s": 0.0, "stow_s": 0.0, "cutoff_s": None,
         }  # fmt: skip
         self.world.jobs[job.ref], self.world.run_s[job.ref] = spec, [job.run_s]
+        return json.dumps(spec).encode()
+
+    async def submit(self, job: Job, until: float) -> None:
+        """A user: submits until accepted, then asks until the end."""
+        body = self.describe(job)
         self.log.tasks[job.ref] = job.tasks if job.kind == "batch" else 0
         while self.clock.now < until:
-            status, _ = await self.users.ask("POST", "/submissions", json.dumps(spec).encode())
+            status, _ = await self.users.ask("POST", "/submissions", body)
             if status in (200, 201):
                 self._note(ACCEPTED, job.ref)
                 break
@@ -391,17 +413,21 @@
     async def ask(self, method: str, target: str, body: bytes) -> tuple[int, dict[str, Any]]:
         """One request to some controller that can be reached."""
         for _, address in self.random.sample(self.nodes, len(self.nodes)):
-            client = self._clients.setdefault(address, HttpClient(address, 16))
-            try:
-                status, answer = await client.request(method, target, body or None, 3.0)
-            except NoAnswerError as err:
-                if err.sent:
-                    return 504, {}
-                continue
-            self.refused += status == 503
-            return status, json.loads(answer) if answer else {}
+            status, answer = await self.ask_at(address, method, target, body)
+            if status != UNREACHED:
+                return status, answer
         return 504, {}
 
+    async def ask_at(self, address: str, method: str, target: str, body: bytes = b"") -> tuple[int, dict[str, Any]]:
+        """One request to one controller."""
+        client = self._clients.setdefault(address, HttpClient(address, 16))
+        try:
+            status, answer = await client.request(method, target, body or None, 3.0)
+        except NoAnswerError as err:
+            return 504 if err.sent else UNREACHED, {}
+        self.refused += status == 503
+        return status, json.loads(answer) if answer else {}
+
 
 def play(installation: Installation, story: Callable[[Installation], Awaitable[None]]) -> None:
     """Runs a story over an installation, and ends every process that it started."""
--- a/tests/sim/measure_recovery.py
+++ b/tests/sim/measure_recovery.py
@@ -58,7 +58,7 @@
     """One loss, at a seeded moment under load."""
     out = Run(kind, machines, jobs, seed)
     random = Random(seed)
-    settings = LoopbackSettings(machines=machines, seed=seed, capacity=machines, limit=1e6)
+    settings = LoopbackSettings(machines=machines, seed=seed, capacity=machines, teams={"t": 1e6})
 
     async def story(it: Installation) -> None:
         await it.operate("recovery", "init")
