--- a/spurarch/coordination/admission_writer.py
+++ b/spurarch/coordination/admission_writer.py
@@ -215,11 +215,11 @@
         for change in batch.changes:
             job = self.view.jobs[change.job]
             reservation = ledger.reserve(change.job, job.team, job.charge_each, change.tasks, term)
-            team = self.view.teams.name(job.team)
-            log.info(
+            log.log(
+                logging.DEBUG if reservation is None else logging.INFO,
                 "%s %d tasks of %s: term %d, revision %d, team %s: %s",
                 "not admitting" if reservation is None else "admitting", change.tasks, change.job, term,
-                self.replica.state.revision, team, ledger.describe(job.team),
+                self.replica.state.revision, self.view.teams.name(job.team), ledger.describe(job.team),
             )  # fmt: skip
             if reservation is None:
                 continue
--- a/spurarch/storage/replica.py
+++ b/spurarch/storage/replica.py
@@ -127,7 +127,9 @@
 
     def drop(self, key: str, version: int) -> None:
         """Takes in a deletion unless the key was written later."""
-        self.unreadable.pop(key, None)
+        if key in self.unreadable:
+            del self.unreadable[key]
+            self._touch(key)
         entry = self.entries.get(key)
         if entry is not None and entry.version > version:
             return
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -363,8 +363,8 @@
             return any(t.name.startswith(args[0] + "/") and t.state == "gathering" for _, t in self.world.on_machines())
         if kind == "answered":  # a user got that status
             return int(args[0]) in self.answers
-        if kind == "unrecorded":  # no key with that beginning is on record
-            return not any(key.startswith(args[0]) for key in self.store.keys)
+        if kind in ("recorded", "unrecorded"):  # a key with that beginning is on record, or none
+            return any(key.startswith(args[0]) for key in self.store.keys) == (kind == "recorded")
         if kind == "known":  # the copy of a controller has the job
             return args[1] in self.controllers[args[0]].replica.state.jobs
         if kind == "loaded":
--- a/tests/sim/store.py
+++ b/tests/sim/store.py
@@ -114,8 +114,11 @@
                 await curio.sleep(self.slow_s)
             if not self._take("requests", 1):
                 return answer(429, {"error": "rate"})
-            if url.path == "/txn" and self.slow_writes:
-                await curio.sleep(self._slow_write_s(request))
+            if url.path == "/txn" and self.slow_writes and (slow_s := self._slow_write_s(request)):
+                # Carried out also if its sender does not wait for it.
+                task = await curio.spawn(self._carry_out_slowly, request, slow_s, daemon=True)
+                response: Response = await task.join()
+                return response
             if url.path == "/kv" and host in self.slow_pages:
                 await curio.sleep(self.slow_pages[host])
             if url.path == "/txn" and self.clock.now < self.late_until and self.random.random() < self.late_share:
@@ -128,6 +131,11 @@
 
         return handle
 
+    async def _carry_out_slowly(self, request: Request, slow_s: float) -> Response:
+        await curio.sleep(slow_s)
+        self.expire()
+        return self._serve(request, "/txn", {})
+
     def _slow_write_s(self, request: Request) -> float:
         """How long a transaction waits before it is carried out, by the keys that it writes."""
         now = self.clock.now
--- /dev/null
+++ b/tests/test_team_ledger.py
@@ -0,0 +1,299 @@
+"""Charges of teams: exact sums, reservations, the comparison with the records, and records that can't be read."""
+
+from __future__ import annotations
+
+import logging
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from spurarch.coordination.ledger_audit import ENTRIES_AT_ONCE, PASS_EVERY_S, LedgerAudit
+from spurarch.coordination.team_ledger import NOTHING, Charge, TeamLedger
+from spurarch.coordination.view import FleetView
+from spurarch.settings import StateLimits, Team
+from spurarch.storage import records
+from spurarch.storage.records import AdmissionRecord, AllocationKey, AllocationRecord, JobRecord, TaskEntry
+from spurarch.storage.replica import Replica
+from spurarch.storage.store import Store
+from tests.test_scale import Answering, Fleet, calls, submission
+
+ONE = Charge.of(1.0, 0.0)
+
+
+def ledger(**limits: float) -> TeamLedger:
+    """One team, with index 0."""
+    return TeamLedger({0: Team("t", **limits)})
+
+
+def test_fractional_sizes_added_and_taken_off_a_million_times_leave_nothing() -> None:
+    books, random = ledger(cpus_max=100.0), Random(1)
+    sizes = [
+        Charge.of(random.choice([0.1, 0.3, 0.7, 1.1, 3.3]), random.choice([0.0, 0.1, 0.25])) for _ in range(500_000)
+    ]
+    for size in sizes:
+        books.change(0, size)
+    random.shuffle(sizes)
+    for size in sizes:
+        books.change(0, NOTHING - size)
+    assert books.recorded(0) == NOTHING
+
+
+def test_three_thirds_of_a_limit_fit_and_a_fourth_does_not() -> None:
+    assert ledger(cpus_max=0.3).tasks_allowed(0, Charge.of(0.1, 0.0), 9) == 3
+
+
+@pytest.mark.parametrize(
+    ("limits", "each", "allowed"),
+    [
+        ({"cpus_max": 10.0}, Charge.of(3.0, 8.0), 3),
+        ({"gpus_max": 4.0}, Charge.of(3.0, 2.0), 2),
+        ({"cpus_max": 10.0, "gpus_max": 4.0}, Charge.of(1.0, 4.0), 1),
+        ({"cpus_max": 10.0, "gpus_max": 4.0}, Charge.of(1.0, 0.0), 10),
+        ({}, Charge.of(1000.0, 1000.0), 50),
+        ({"cpus_max": 10.0}, Charge.of(0.0, 0.0), 50),
+    ],
+)
+def test_cpus_and_gpus_are_limited_each_by_itself(limits: dict[str, float], each: Charge, allowed: int) -> None:
+    assert ledger(**limits).tasks_allowed(0, each, 50) == allowed
+
+
+def test_a_limit_below_what_is_charged_admits_nothing_and_is_no_violation() -> None:
+    books = ledger(cpus_max=4.0)
+    books.change(0, Charge.of(6.0, 0.0))
+    books.check_limits(whole=False)  # the first reading of all records
+    assert books.tasks_allowed(0, ONE, 5) == 0
+    books.change(0, NOTHING - ONE)
+    books.check_limits(whole=True)
+    assert books.violations.count == 0
+    books.change(0, ONE)
+    books.check_limits(whole=True)
+    assert books.violations.count == 1
+
+
+def test_an_unknown_team_is_admitted_nothing() -> None:
+    assert ledger().tasks_allowed(7, ONE, 5) == 0
+
+
+def test_what_is_reserved_is_not_given_a_second_time() -> None:
+    books = ledger(cpus_max=4.0)
+    first = books.reserve("job-1", 0, ONE, 3, 10)
+    assert first is not None
+    assert books.reserve("job-2", 0, ONE, 2, 10) is None
+    assert books.tasks_allowed(0, ONE, 9) == 1
+    books.release(first)
+    books.release(first)
+    assert books.reserved(0) == NOTHING
+
+
+def test_a_reservation_stands_until_the_copy_shows_what_became_of_it() -> None:
+    books = ledger(cpus_max=4.0)
+    reservation = books.reserve("job-1", 0, ONE, 3, 10)
+    assert reservation is not None
+    books.release_shown(1000, 10)
+    assert books.reserved_for("job-1") == Charge.of(3.0, 0.0), "nothing is known of it"
+    reservation.shown_by = 1200
+    books.release_shown(1199, 10)
+    assert books.reserved_for("job-1") == Charge.of(3.0, 0.0), "the copy is older"
+    books.release_shown(1200, 10)
+    assert books.reserved_for("job-1") == NOTHING
+
+
+def test_a_reservation_of_an_earlier_term_goes_with_a_copy_of_the_next() -> None:
+    books = ledger(cpus_max=4.0)
+    assert books.reserve("job-1", 0, ONE, 3, 10) is not None
+    books.release_shown(20, 20)
+    assert books.reserved(0) == NOTHING
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["reserve", "commit", "lose", "end", "show"]), st.integers(0, 3), st.integers(1, 4)),
+        max_size=60,
+    )
+)
+def test_whatever_happens_to_admissions_the_records_stay_within_the_limit(steps: list[tuple[str, int, int]]) -> None:
+    """Transactions are carried out whenever they like; what the service holds never passes the limit."""
+    books, under_way, lost, held, revision = ledger(cpus_max=5.0), [], [], 0, 0
+    for what, which, tasks in steps:
+        if what == "reserve" and (made := books.reserve(f"job-{which}", 0, ONE, tasks, 1)):
+            under_way.append(made)
+        elif what in ("commit", "lose") and under_way:
+            reservation = under_way.pop(which % len(under_way))
+            held += reservation.charge.cpus // ONE.cpus
+            revision += 1
+            if what == "commit":
+                books.change(0, reservation.charge)
+                books.release(reservation)
+            else:  # it was carried out and its answer lost: a repeat of it found a conflict at this revision
+                reservation.shown_by = revision
+                lost.append(reservation)
+        elif what == "show":
+            for reservation in lost:
+                books.change(0, reservation.charge)
+            lost.clear()
+            books.release_shown(revision, 1)
+        elif what == "end" and books.recorded(0).cpus:
+            books.change(0, NOTHING - ONE)
+            held -= 1
+        books.check_limits(whole=True)
+        assert held <= 5
+    assert books.violations.count == 0
+
+
+# The audit
+
+
+def fleet_of(jobs: int) -> Fleet:
+    """Jobs of four tasks each, three of them on machines and one of them ended."""
+    fleet = Fleet(0)
+    for i in range(jobs):
+        fleet.put(f"{records.JOB}job-{i}", JobRecord(submission(f"job-{i}", 4), 0.0))
+        fleet.put(str(AllocationKey("a", f"job-{i}", 0)), Fleet.allot(i, records.ENDED))
+    fleet.view.update()
+    return fleet
+
+
+def test_a_charge_that_went_missing_is_found_and_its_team_waits_until_all_is_equal_again() -> None:
+    fleet = fleet_of(3)
+    view, audit = fleet.view, LedgerAudit(fleet.view)
+    audit.check_all()
+    assert view.ledger.violations.count == 0
+    where = AllocationKey("a", "job-1", 0)
+    view._count(where, view.jobs["job-1"], view._booked.pop(where), -1)  # what the former table did with a new job
+    audit.check_all()
+    assert "job-1 is charged with 0 tasks, and has 3 on record" in view.ledger.violations.texts[0]
+    assert view.ledger.recorded(0) == Charge.of(9.0, 0.0), "booked anew"
+    assert view.ledger.tasks_allowed(0, ONE, 1) == 0, "until a whole pass finds nothing"
+    audit.check_all()
+    assert view.ledger.tasks_allowed(0, ONE, 1) == 1
+    assert view.ledger.violations.count == 1
+
+
+def test_a_total_that_is_not_the_sum_of_its_jobs_is_found() -> None:
+    fleet = fleet_of(2)
+    fleet.view.ledger.change(0, NOTHING - ONE)
+    LedgerAudit(fleet.view).check_all()
+    assert fleet.view.ledger.violations.count == 1
+    assert fleet.view.ledger.recorded(0) == Charge.of(6.0, 0.0)
+
+
+def test_the_audit_takes_little_at_a_time_however_large_the_fleet_and_rests_between_passes() -> None:
+    most = []
+    for jobs in (400, 8000):
+        fleet = fleet_of(jobs)
+        audit, now, costs = LedgerAudit(fleet.view), 100.0, []
+        while not audit.passes:
+            costs.append(calls(lambda a=audit, n=now: a.check_some(n)))  # type: ignore[misc]
+            now += 0.1
+        assert len(costs) >= jobs * 5 // ENTRIES_AT_ONCE
+        most.append(max(costs[:-1]))
+        assert calls(lambda a=audit, n=100.0 + PASS_EVERY_S - 1: a.check_some(n)) < 5  # type: ignore[misc]
+    assert most[1] < 1.5 * most[0]
+
+
+def test_an_admission_is_charged_at_the_same_cost_in_a_large_fleet() -> None:
+    costs = []
+    for jobs in (400, 4000):
+        view = fleet_of(jobs).view
+
+        def reserve(view: Any = view) -> None:
+            made = view.ledger.reserve("job-1", 0, ONE, 3, 1)
+            view.ledger.release_shown(5, 1)
+            view.ledger.release(made)
+
+        costs.append(calls(reserve))
+    assert costs[0] == costs[1]
+
+
+# Records read in any order, and unreadable ones
+
+
+def test_an_allocation_that_is_read_before_its_job_is_charged_with_it() -> None:
+    fleet = Fleet(0)
+    where = AllocationKey("a", "job-1", 0)
+    fleet.put(str(where), Fleet.allot(1, records.ASSIGNED))
+    fleet.view.update()
+    assert fleet.view.ledger.recorded(0) == NOTHING
+    fleet.put(f"{records.JOB}job-1", JobRecord(submission("job-1", 4), 0.0))
+    fleet.view.update()
+    assert fleet.view.ledger.recorded(0) == Charge.of(4.0, 0.0)
+    fleet.state.drop(str(where), fleet.state.revision + 1)
+    fleet.view.update()
+    assert fleet.view.ledger.recorded(0) == NOTHING
+    assert not fleet.view._jobless
+
+
+def test_allocations_of_jobs_that_are_over_are_not_kept_for_ever() -> None:
+    fleet = Fleet(0)
+    where = AllocationKey("a", "job-1", 0)
+    fleet.put(str(where), Fleet.allot(1, records.ENDED))
+    fleet.view.update()
+    fleet.state.drop(str(where), fleet.state.revision + 1)
+    fleet.view.update()
+    assert not fleet.view._jobless
+
+
+def two_teams() -> tuple[Replica, Any]:
+    """A copy with a job of each of two teams, and its view."""
+    replica = Replica(Store(Answering(), StateLimits(100.0, 100.0, 16.0, 24), 1))
+    replica.state.whole_from = 0
+    view = FleetView(replica.state, [Team("t", cpus_max=8.0), Team("other", cpus_max=8.0)])
+    for ref, team in (("job-1", "t"), ("job-2", "other")):
+        spec = submission(ref, 4)
+        spec.team = team
+        replica._take(f"{records.JOB}{ref}", 1, msgspec.Raw(msgspec.json.encode(JobRecord(spec, 0.0))))
+    view.update()
+    return replica, view
+
+
+JOB_WITH_A_WRONG_FIELD = b'{"spec":{"ref":"job-9","crew":"t","legs":"many"},"at":0}'
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        (str(AllocationKey("a", "job-1", 0)), b'{"tasks":3}'),
+        (f"{records.ADMISSION}job-1", b'"x"'),
+        (f"{records.JOB}job-1", b"[]"),
+        (f"{records.JOB}job-9", JOB_WITH_A_WRONG_FIELD),
+    ],
+)
+def test_a_team_with_an_unreadable_record_is_admitted_nothing_and_others_go_on(
+    key: str, value: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    replica, view = two_teams()
+    with caplog.at_level(logging.ERROR):
+        for version in (2, 3):
+            replica._take(key, version, msgspec.Raw(value))
+            view.update()
+    assert len([line for line in caplog.messages if "unreadable record" in line]) == 1
+    mine, other = (view.teams.index(name) for name in ("t", "other"))
+    assert view.ledger.tasks_allowed(mine, ONE, 5) == 0
+    assert view.ledger.tasks_allowed(other, ONE, 5) == 5
+    replica.state.drop(key, 4)
+    view.update()
+    assert view.ledger.tasks_allowed(mine, ONE, 5) == 5
+
+
+def test_a_readable_record_in_the_place_of_an_unreadable_one_is_charged() -> None:
+    replica, view = two_teams()
+    key = str(AllocationKey("a", "job-1", 0))
+    replica._take(key, 2, msgspec.Raw(b"7"))
+    view.update()
+    record = AllocationRecord([TaskEntry(n) for n in range(3)])
+    replica._take(key, 3, msgspec.Raw(msgspec.json.encode(record)))
+    replica._take(f"{records.ADMISSION}job-1", 3, msgspec.Raw(msgspec.json.encode(AdmissionRecord(3, 1))))
+    view.update()
+    assert view.ledger.tasks_allowed(view.teams.index("t"), ONE, 9) == 5
+
+
+def test_the_team_of_a_job_is_read_from_what_is_left_of_its_record() -> None:
+    good = msgspec.json.encode(JobRecord(submission("job-1", 1), 0.0))
+    assert records.team_of(f"{records.JOB}job-1", good) == "t"
+    assert records.team_of(f"{records.JOB}job-9", JOB_WITH_A_WRONG_FIELD) == "t"
+    assert records.team_of(f"{records.JOB}job-9", b'{"spec":{}}') is None
+    assert records.team_of(f"{records.ADMISSION}job-9", b"1") is None
