Charges cost nothing where they don't change; hung machines past their lease use nothing of a limit

The stand-ins' check of limits counted tasks on machines that hang past their lease, which the check of tasks that run twice leaves out for good reason: they don't execute, and go before anything else when the machine goes on (docs/questions.md, 10). Tasks within their lease count as before, hanging or not.

--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -170,7 +170,7 @@
 
     def _book(self, job: JobView, tasks: int) -> None:
         """Counts planned tasks towards their team; an admission of the job that is under way is planned again here."""
-        planned = Charge.of(job.need.cpus, job.need.gpus, tasks).beyond(self.view.ledger.reserved_for(job.ref))
+        planned = job.charge_each.times(tasks).beyond(self.view.ledger.reserved_for(job.ref))
         self._planned[job.team] = self._planned.get(job.team, NOTHING) + planned
 
     def _pending(self, job: JobView) -> Iterable[tuple[TaskEntry, AllocationKey | None]]:
--- a/spurarch/coordination/ledger_audit.py
+++ b/spurarch/coordination/ledger_audit.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
-from spurarch.coordination.team_ledger import NOTHING, Charge
+from collections import defaultdict
+
+from spurarch.coordination.team_ledger import Charge
 from spurarch.coordination.view import FleetView, JobView
 from spurarch.storage import records
 
@@ -65,12 +67,15 @@
         """Compares one job with its records; how many entries that took."""
         view = self._view
         allocations = view.state.allocations.get(ref, {})
-        entries = [entry for record in allocations.values() for entry in record.tasks]
-        charged = sum(entry.state in CHARGED for entry in entries)
+        entries = charged = 0
+        for record in allocations.values():
+            entries += len(record.tasks)
+            for entry in record.tasks:
+                charged += entry.state in CHARGED
         job = view.jobs.get(ref)
         if ref in view.state.jobs and (job is None or job.charged != charged):
             self._differs(ref, job, charged)
-        return 1 + len(entries)
+        return 1 + entries
 
     def _differs(self, ref: str, job: JobView | None, charged: int) -> None:
         view = self._view
@@ -82,12 +87,13 @@
         view.ledger.stop(team, "its charges were not those on record")
 
     def _check_totals(self) -> None:
-        view, sums = self._view, dict[int, Charge]()
+        view = self._view
+        cpus, gpus = defaultdict[int, int](int), defaultdict[int, int](int)
         for job in view.jobs.values():
-            each = Charge.of(job.need.cpus, job.need.gpus, job.charged)
-            sums[job.team] = sums.get(job.team, NOTHING) + each
+            cpus[job.team] += job.charge_each.cpus * job.charged
+            gpus[job.team] += job.charge_each.gpus * job.charged
         for team in view.limits:
-            fresh, kept = sums.get(team, NOTHING), view.ledger.recorded(team)
+            fresh, kept = Charge(cpus[team], gpus[team]), view.ledger.recorded(team)
             if fresh != kept:
                 view.ledger.violations.note(
                     f"team {view.limits[team].name} is charged with {kept}, its jobs with {fresh}"
--- a/spurarch/coordination/team_ledger.py
+++ b/spurarch/coordination/team_ledger.py
@@ -19,17 +19,21 @@
 UNITS = 1_000_000_000  # of a CPU or GPU; sums of integers neither drift nor depend on their order
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Charge:
-    """CPUs and GPUs, in billionths."""
+    """CPUs and GPUs, in billionths. Never changed: frozen, its instances would take twice as long to make."""
 
     cpus: int = 0
     gpus: int = 0
 
     @staticmethod
-    def of(cpus: float, gpus: float, tasks: int = 1) -> Charge:
-        """What a number of equal tasks is charged with."""
-        return Charge(round(cpus * UNITS) * tasks, round(gpus * UNITS) * tasks)
+    def of(cpus: float, gpus: float) -> Charge:
+        """Amounts as they stand in jobs and settings."""
+        return Charge(round(cpus * UNITS), round(gpus * UNITS))
+
+    def times(self, tasks: int) -> Charge:
+        """What a number of tasks takes of which each takes this."""
+        return Charge(self.cpus * tasks, self.gpus * tasks)
 
     def __add__(self, other: Charge) -> Charge:
         """Both together."""
@@ -68,6 +72,7 @@
 
     def __init__(self, limits: dict[int, Team]) -> None:
         self._limits = limits
+        self._mosts: dict[int, Charge] = {}
         self._recorded: dict[int, Charge] = {}
         self._reserved: dict[int, Charge] = {}
         self._reservations: list[Reservation] = []
@@ -95,11 +100,10 @@
 
     def tasks_allowed(self, team: int, each: Charge, most: int, beside: Charge = NOTHING) -> int:
         """How many more equal tasks the team's limit allows, `beside` what is on record and under way."""
-        limit = self._limits.get(team)
-        if limit is None or team in self._stopped or team in self.uncertain:
+        if team not in self._limits or team in self._stopped or team in self.uncertain:
             return 0
         total = self.recorded(team) + self.reserved(team) + beside
-        most_charge = Charge.of(limit.cpus_max, limit.gpus_max)
+        most_charge = self._most(team)
         if most_charge.cpus > 0 and each.cpus > 0:
             most = min(most, (most_charge.cpus - total.cpus) // each.cpus)
         if most_charge.gpus > 0 and each.gpus > 0:
@@ -110,7 +114,7 @@
         """Charges the tasks of an admission that is about to be committed; None if the limit does not allow them."""
         if self.tasks_allowed(team, each, tasks) < tasks:
             return None
-        reservation = Reservation(job, team, Charge(each.cpus * tasks, each.gpus * tasks), term)
+        reservation = Reservation(job, team, each.times(tasks), term)
         self._reservations.append(reservation)
         self._reserved[team] = self.reserved(team) + reservation.charge
         return reservation
@@ -137,15 +141,13 @@
         A limit that was lowered leaves a total beyond it: nothing more is admitted, and nothing is stopped.
         """
         for team, before in self._before.items():
-            limit = self._limits.get(team)
-            if whole and limit is not None:
-                most, total = Charge.of(limit.cpus_max, limit.gpus_max), self.recorded(team)
-                rose = total.beyond(before)
-                over = total.beyond(most)
-                if (most.cpus and rose.cpus and over.cpus) or (most.gpus and rose.gpus and over.gpus):
-                    self.violations.note(
-                        f"team {limit.name} rose beyond its limit: {self.describe(team)}, before {before}"
-                    )
+            most = self._most(team)
+            total = self.recorded(team)
+            if not whole or (not 0 < most.cpus < total.cpus and not 0 < most.gpus < total.gpus):
+                continue
+            rose = total.beyond(before)
+            if (rose.cpus and 0 < most.cpus < total.cpus) or (rose.gpus and 0 < most.gpus < total.gpus):
+                self.violations.note(f"team {self._limits[team].name} rose beyond its limit: {self.describe(team)}")
         self._before.clear()
 
     def stop(self, team: int, reason: str) -> None:
@@ -174,11 +176,17 @@
         return "; ".join(shown) if shown else "none is charged"
 
     def _cpus_left(self, team: int) -> float:
-        most = Charge.of(self._limits[team].cpus_max, 0.0).cpus
+        most = self._most(team).cpus
         return most - self.recorded(team).cpus - self.reserved(team).cpus if most else float("inf")
 
     def describe(self, team: int) -> str:
         """The team's totals and limit, for a line of log."""
-        limit = self._limits.get(team)
-        most = Charge.of(limit.cpus_max, limit.gpus_max) if limit is not None else NOTHING
-        return f"charged {self.recorded(team)}, reserved {self.reserved(team)}, limit {most}"
+        return f"charged {self.recorded(team)}, reserved {self.reserved(team)}, limit {self._most(team)}"
+
+    def _most(self, team: int) -> Charge:
+        """The team's limit; nothing of a resource stands for none."""
+        most = self._mosts.get(team)
+        if most is None:
+            limit = self._limits.get(team)
+            most = self._mosts[team] = Charge.of(limit.cpus_max, limit.gpus_max) if limit is not None else NOTHING
+        return most
--- a/spurarch/coordination/view.py
+++ b/spurarch/coordination/view.py
@@ -31,6 +31,7 @@
 
     ref: str
     need: Need
+    charge_each: Charge  # of its team, for each task
     team: int
     service: bool
     gang: bool
@@ -59,11 +60,6 @@
         """Tasks that wait for admission."""
         return self.tasks - self.charged - self.ended
 
-    @property
-    def charge_each(self) -> Charge:
-        """What its team is charged with for each task."""
-        return Charge.of(self.need.cpus, self.need.gpus)
-
     @property
     def to_start(self) -> int:
         """Tasks that neither run nor have ended."""
@@ -91,6 +87,11 @@
     ended: int = 0
     returned: int = 0
 
+    @property
+    def charged(self) -> int:
+        """Tasks that their team is charged with."""
+        return self.assigned + self.free
+
 
 class FleetView:
     """Tables of machines, jobs and teams."""
@@ -280,6 +281,7 @@
         return JobView(
             ref,
             need,
+            Charge.of(spec.cpus, spec.gpus),
             self.teams.index(spec.team),
             spec.kind == wire.SERVICE,
             gang,
@@ -323,16 +325,21 @@
             # is never charged (docs/incidents/2026-12-02-team-limit.md).
             self._note_jobless(where)
             return
+        charged = 0  # tasks more than before
         old = self._booked.pop(where, None)
         if old is not None:
             self._waiting.pop(where, None)
             self._count(where, job, old, -1)
+            charged -= old.charged
         record = self.state.allocations.get(where.job, {}).get(where)
         if record is not None:
             self._booked[where] = new = self._sum(where, record)
             if new.free:
                 self._waiting[where] = new
             self._count(where, job, new, 1)
+            charged += new.charged
+        if charged:
+            self.ledger.change(job.team, job.charge_each.times(charged))
 
     def _note_jobless(self, where: AllocationKey) -> None:
         mine = self._jobless.setdefault(where.job, set())
@@ -360,13 +367,12 @@
         return booked
 
     def _count(self, where: AllocationKey, job: JobView, booked: _Booked, sign: int) -> None:
-        charged = booked.assigned + booked.free
+        charged = booked.charged
         job.in_zone[booked.zone] += sign * charged
         job.charged += sign * charged
         job.ended += sign * booked.ended
         job.assigned += sign * booked.assigned
         job.returned += sign * booked.returned
-        self.ledger.change(job.team, Charge.of(job.need.cpus, job.need.gpus, sign * charged))
         self.running[job.team][booked.zone] += sign * booked.assigned * job.need.cpus
         for machine, count in booked.on.items():
             assigned = self._assigned[machine]
--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -124,8 +124,8 @@
         limit = self.limits.get(spec["crew"], 0.0)
         used = spec["vcpus"] + sum(
             self.jobs[t.name.split("/")[0]]["vcpus"]
-            for _, t in others
-            if self.jobs[t.name.split("/")[0]]["crew"] == spec["crew"]
+            for other, t in others
+            if self.jobs[t.name.split("/")[0]]["crew"] == spec["crew"] and not other.frozen_for_good()
         )
         if limit and used > limit + 1e-6:
             self.break_rule(f"quota: {spec['crew']} uses {used}")
--- a/tests/sim/soak.py
+++ b/tests/sim/soak.py
@@ -109,7 +109,8 @@
             self._stepping = False
         super().check_start(worker, task)
         team = self.jobs[task.name.split("/")[0]]["crew"]
-        jobs = [self.jobs[held.name.split("/")[0]] for _, held in self.on_machines()]
+        held = [task for other, task in self.on_machines() if not other.frozen_for_good()]
+        jobs = [self.jobs[task.name.split("/")[0]] for task in held]
         used = sum(job["vcpus"] for job in jobs if job["crew"] == team)
         self.most_used[team] = max(self.most_used.get(team, 0.0), used / self.limits[team])
 
@@ -259,6 +260,8 @@
                 self._until = max(self._until, until + LATE_COMMAND_S[1])
             case "cancel-burst":
                 await self._cancel_burst(trouble)
+            case _:
+                raise ValueError(f"unknown trouble {trouble.kind}")
 
     async def _restart(self, index: int, for_s: float) -> None:
         if f"n{index}" not in self.processes:
--- a/tests/test_team_ledger.py
+++ b/tests/test_team_ledger.py
@@ -164,6 +164,7 @@
     assert view.ledger.violations.count == 0
     where = AllocationKey("a", "job-1", 0)
     view._count(where, view.jobs["job-1"], view._booked.pop(where), -1)  # what the former table did with a new job
+    view.ledger.change(0, Charge.of(-3.0, 0.0))
     audit.check_all()
     assert "job-1 is charged with 0 tasks, and has 3 on record" in view.ledger.violations.texts[0]
     assert view.ledger.recorded(0) == Charge.of(9.0, 0.0), "booked anew"
