--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -10,10 +11,15 @@
 from spurarch.coordination.admission import Grant
 from spurarch.coordination.admission_writer import AdmissionWriter
 from spurarch.coordination.leader import Leader
+from spurarch.coordination.team_ledger import Charge
+from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
-from spurarch.settings import StateLimits
+from spurarch.settings import StateLimits, Team
 from spurarch.storage import records
+from spurarch.storage.limits import Urgency
 from spurarch.storage.records import AllocationKey, AllocationRecord, FinalRecord, JobRecord, TaskEntry
+from spurarch.storage.replica import Write
+from spurarch.storage.store import Outcome, Verdict
 from tests.sim.clock import Clock
 from tests.test_scale import Fleet, submission
 
@@ -30,15 +36,110 @@
     return leader
 
 
-def writer_of(fleet: Fleet) -> AdmissionWriter:
+def writer_of(fleet: Fleet, replica: Any = None, most_changes: int = 24, term: int | None = 0) -> AdmissionWriter:
     """What decides which records an admission writes, without a state service."""
 
     async def wake() -> None:
         """Nobody to wake."""
 
-    replica: Any = SimpleNamespace(state=fleet.state)
-    membership: Any = SimpleNamespace(leading=True)
-    return AdmissionWriter(replica, membership, fleet.view, StateLimits(100.0, 100.0, 16.0, 24), wake)
+    replica = replica or SimpleNamespace(state=fleet.state)
+    membership: Any = SimpleNamespace(confirmed_term=term)
+    return AdmissionWriter(replica, membership, fleet.view, StateLimits(100.0, 100.0, 16.0, most_changes), wake)
+
+
+class SlowReplica:
+    """A copy whose transactions are carried out while the test does something else meanwhile."""
+
+    def __init__(self, fleet: Fleet, meanwhile: Callable[[list[Write]], None]) -> None:
+        self.state, self._fleet, self._meanwhile = fleet.state, fleet, meanwhile
+        self.committed: list[list[str]] = []
+        self.pinned: list[dict[str, int]] = []
+
+    async def commit(self, writes: list[Write], guards: object, urgency: object, pinned: dict[str, int]) -> Outcome:
+        """Carries a transaction out."""
+        await curio.sleep(0)
+        self.committed.append([write.key for write in writes])
+        self.pinned.append(pinned)
+        for write in writes:
+            self._fleet.put(write.key, write.record)
+        self._meanwhile(writes)
+        return Outcome(Verdict.DONE, self.state.revision)
+
+
+def limited_fleet(limit: float, *jobs: tuple[str, int]) -> Fleet:
+    """Jobs of one team with a limit."""
+    fleet = Fleet(0)
+    fleet.view = FleetView(fleet.state, [Team("t", cpus_max=limit)])
+    for ref, tasks in jobs:
+        fleet.put(f"{records.JOB}{ref}", JobRecord(submission(ref, tasks), 0.0))
+    fleet.view.update()
+    return fleet
+
+
+def grant_of(fleet: Fleet, ref: str, tasks: int) -> Grant:
+    return Grant(ref, fleet.view.zones.index("a"), [TaskEntry(n) for n in range(tasks)])
+
+
+def test_a_later_batch_of_a_plan_finds_its_team_full() -> None:
+    """The first batch takes its time; another admission takes the rest of the limit, and the plan knows nothing of it."""
+    fleet = limited_fleet(6.0, ("job-1", 8), ("job-2", 8), ("job-3", 4))
+
+    def meanwhile(writes: list[Write]) -> None:
+        if any("job-1" in write.key for write in writes):
+            fleet.put(str(AllocationKey("b", "job-3", 0)), AllocationRecord([TaskEntry(n) for n in range(4)]))
+
+    replica: Any = SlowReplica(fleet, meanwhile)
+    writer = writer_of(fleet, replica, most_changes=3)
+    grants = [grant_of(fleet, "job-1", 2), grant_of(fleet, "job-2", 4)]
+    planned = {ref: writer.as_planned(ref) for ref in ("job-1", "job-2")}
+    curio.run(writer.admit, grants, planned, Urgency.STARTS)
+    assert replica.committed == [["live/admitted/job-1", "live/allot/a/job-1/0"]]
+    assert fleet.view.ledger.recorded(0) == Charge.of(6.0, 0.0)
+    assert fleet.view.ledger.reserved(0) == Charge()
+
+
+def test_two_admissions_side_by_side_share_one_limit() -> None:
+    fleet = limited_fleet(6.0, ("job-1", 4), ("job-2", 4))
+    replica: Any = SlowReplica(fleet, lambda _: None)
+    writer = writer_of(fleet, replica)
+
+    async def both() -> None:
+        async with curio.TaskGroup() as group:
+            for ref in ("job-1", "job-2"):
+                planned = {ref: writer.as_planned(ref)}
+                await group.spawn(writer.admit, [grant_of(fleet, ref, 4)], planned, Urgency.STARTS)
+
+    curio.run(both)
+    assert replica.committed == [["live/allot/a/job-1/0"]]
+    assert replica.pinned == [{records.LEADER: 0}]
+
+
+def test_returned_tasks_are_charged_again_and_those_that_stay_only_once() -> None:
+    """A record that loses tasks to another zone is written again with the rest, which is charged already."""
+    fleet = limited_fleet(4.0, ("job-1", 4))
+    fleet.put(
+        str(SOURCE),
+        AllocationRecord(
+            [TaskEntry(0, records.RETURNED, 1), TaskEntry(1), TaskEntry(2), TaskEntry(3, records.ENDED, 1)]
+        ),
+    )
+    fleet.view.update()
+    assert fleet.view.ledger.recorded(0) == Charge.of(2.0, 0.0)
+    replica: Any = SlowReplica(fleet, lambda _: None)
+    writer = writer_of(fleet, replica)
+    grant = Grant("job-1", fleet.view.zones.index("b"), [TaskEntry(0, records.FREE, 1)], {SOURCE: {0}})
+    assert writer._job_admission("job-1", [grant]).tasks == 1
+    curio.run(writer.admit, [grant], {"job-1": writer.as_planned("job-1")}, Urgency.STARTS)
+    assert len(replica.committed) == 1
+    assert fleet.view.ledger.recorded(0) == Charge.of(3.0, 0.0)
+
+
+def test_nothing_is_admitted_without_a_confirmed_term() -> None:
+    fleet = limited_fleet(6.0, ("job-1", 2))
+    replica: Any = SlowReplica(fleet, lambda _: None)
+    writer = writer_of(fleet, replica, term=None)
+    curio.run(writer.admit, [grant_of(fleet, "job-1", 2)], {"job-1": writer.as_planned("job-1")}, Urgency.STARTS)
+    assert replica.committed == []
 
 
 def test_tasks_that_an_earlier_plan_moved_are_not_moved_again() -> None:
