--- /dev/null
+++ b/tests/test_team_limit_combinations.py
@@ -0,0 +1,84 @@
+"""Teams that are always at their limits, and troubles at random moments that leave totals old: in virtual time.
+
+The same days are played each time. `SPURARCH_MEETINGS=200 python -m pytest tests/test_team_limit_combinations.py` plays as many
+new ones; what it finds becomes a scenario.
+"""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, seed, settings
+from hypothesis import strategies as st
+
+from tests.sim.scenario import Play, Scenario
+from tests.test_fault_combinations import MORE, machines, moments, nodes, troubles
+
+BASE = """team t max=60
+team u max=4
+team v max=5.5
+type small cpus=4 boot=5 capacity=6
+tuning consolidation_cap=0
+page-items 4
+machines small a 2
+machines small b 2
+machines small c 2
+at 2 submit job-1 team=t kind=daemon priority=production tasks=3 cpus=1
+at 3 submit job-2 team=u tasks=8 run=5,9
+at 4 submit job-3 team=v tasks=7 cpus=1.1 run=6
+at 6 submit job-4 team=u kind=gang tasks=2 cpus=1 run=8
+at 7 submit job-5 team=v kind=daemon priority=production tasks=2 cpus=0.7
+"""
+DAY_S = 45.0
+QUIET_S = 125.0
+
+spans = st.sampled_from([0.5, 1.5, 4.0, 9.0])
+stale = st.one_of(
+    st.builds("too-old {} for={}".format, nodes, spans),
+    st.builds("no-watch {} for={}".format, nodes, spans),
+    st.builds("slow-pages {} by=0.4".format, nodes),
+    st.builds("slow-writes live/allot/{}/ by={} for={}".format, st.sampled_from("abc"), st.sampled_from([0.6, 1.8, 4.0]), spans),
+    st.builds("lose-answers for={}".format, st.sampled_from([0.5, 1.5, 3.0])),
+    st.builds("kill-leader for={}".format, st.sampled_from([0.3, 4.0])),
+    st.builds("hang {} for={}".format, machines, st.sampled_from([4.0, 14.0])),
+    troubles,
+)  # fmt: skip
+timed = st.builds("at {} {}".format, moments, stale)
+kinds = st.sampled_from(["kind=gang", "kind=daemon priority=production", "priority=high", "priority=normal", ""])
+submits = st.builds(
+    "at {0} submit job-{1} team={2} tasks={3} cpus={4} run=5 {5}".format, moments, st.integers(10, 30),
+    st.sampled_from("uv"), st.integers(1, 4), st.sampled_from([0.3, 1, 1.1]), kinds,
+)  # fmt: skip
+cancels = st.builds("at {} cancel job-{}".format, moments, st.sampled_from([2, 3, 4, 5, 5]))
+days = st.builds(
+    lambda *parts: "\n".join(sorted((line for lines in parts for line in lines), key=lambda line: float(line.split()[1]))),
+    st.lists(timed, min_size=3, max_size=7), st.lists(submits, min_size=4, max_size=8, unique_by=lambda line: line.split()[3]),
+    st.lists(cancels, max_size=3, unique_by=lambda line: line.split()[3]),
+)  # fmt: skip
+
+
+def play(text: str) -> list[str]:
+    """What broke on a day. Services end at its end, so that all that waits for their team's limit can run."""
+    jobs = [line.split()[3] for line in (BASE + text).splitlines() if " submit " in line]
+    services = [line.split()[3] for line in (BASE + text).splitlines() if "kind=daemon" in line]
+    late = "\n".join(f"at {DAY_S + 15} cancel {ref}" for ref in services if ref != "job-1")
+    scenario = Scenario.parse(f"{BASE}{text}\n{late}\n", {})
+    ends = [at + float(dict(w.split("=") for w in words if "=" in w).get("for", 0)) for at, words in scenario.actions]
+    scenario.end = max(ends) + QUIET_S
+    played = Play(scenario)
+    played.run()
+    last = {ref: played.told.get(ref, ["nothing"])[-1] for ref in jobs if ref != "job-1"}
+    waiting = [f"{ref} is left: {state}" for ref, state in last.items() if state not in ("done", "aborted")]
+    return played.problems + waiting
+
+
+@pytest.mark.parametrize("part", range(3))
+def test_teams_stay_within_their_limits(part: int) -> None:
+    @settings(
+        max_examples=MORE // 3 or 5, deadline=None, database=None, print_blob=False,
+        phases=[Phase.generate, Phase.shrink] if MORE else [Phase.generate], suppress_health_check=list(HealthCheck),
+    )  # fmt: skip
+    @given(days)
+    def meet(text: str) -> None:
+        assert play(text) == [], text
+
+    (meet if MORE else seed(part)(meet))()
