Leader, ends of jobs and renting have modules of their own; rentals ask for a confirmed term

leader.py held all three. No behaviour changed, but that rentals, lists and returns of machines that never came up need the term they began under, not only that this process leads: after a lost and regained leadership the next round decides again.

--- /dev/null
+++ b/spurarch/coordination/job_ends.py
@@ -0,0 +1,113 @@
+"""Final standings: jobs whose tasks have all ended, and cancelled ones that are off all machines."""
+
+from __future__ import annotations
+
+import logging
+
+from spurarch.coordination.view import FleetView
+from spurarch.protocol import wire
+from spurarch.settings import StateLimits
+from spurarch.storage import records
+from spurarch.storage.limits import Urgency
+from spurarch.storage.records import AllocationKey, FinalRecord
+from spurarch.storage.replica import Replica, Write
+from spurarch.storage.store import Verdict
+
+log = logging.getLogger(__name__)
+
+MOST_ENDED = 200  # jobs looked at in one round
+
+
+class JobEnds:
+    """Records final standings; only the leader may, and each transaction guards its record."""
+
+    def __init__(self, replica: Replica, view: FleetView, limits: StateLimits) -> None:
+        self._replica, self._view = replica, view
+        self._changed_keys = replica.state.subscribe()
+        self._jobs: dict[str, None] = {}  # of which something changed
+        self._most_changes = limits.transaction_changes
+        reserved = 1 + replica.store.reserved_guards  # the leader's record, and what the store adds
+        self._most_guards = limits.transaction_guards - self._most_changes - reserved
+
+    def begin_term(self) -> None:
+        """Looks at all jobs once."""
+        self._changed_keys.clear()
+        self._jobs = dict.fromkeys(self._replica.state.jobs)
+
+    def forget_news(self) -> None:
+        """Another one leads: the news would gather, and a new leader looks at all jobs in any case."""
+        self._changed_keys.clear()
+
+    async def end_jobs(self) -> None:
+        """Records the final standing of jobs whose tasks have all ended, and of cancelled ones that are off.
+
+        Only jobs of which something changed are looked at, and several go out in one transaction.
+        """
+        for key in self._changed_keys:
+            if key.startswith(records.JOB):
+                self._jobs[key[len(records.JOB) :]] = None
+            elif key.startswith(records.ALLOT):
+                self._jobs[AllocationKey.parse(key).job] = None
+        self._changed_keys.clear()
+        batch: list[Write] = []
+        guards: set[str] = set()
+        refs: list[str] = []
+        for ref in list(self._jobs)[:MOST_ENDED]:
+            final = self.final(ref)
+            if final is None:
+                del self._jobs[ref]
+                continue
+            writes, more = self._final_writes(ref, final)
+            too_many = len(batch) + len(writes) > self._most_changes or len(guards) + len(more) > self._most_guards
+            if batch and too_many:
+                await self._commit_ends(batch, guards, refs)
+                batch, guards, refs = [], set(), []
+                final = self.final(ref)
+                if final is None:
+                    continue
+                writes, more = self._final_writes(ref, final)
+            batch += writes
+            guards |= more
+            refs.append(ref)
+        if batch:
+            await self._commit_ends(batch, guards, refs)
+
+    async def _commit_ends(self, writes: list[Write], guards: set[str], refs: list[str]) -> None:
+        outcome = await self._replica.commit(writes, [records.LEADER, *guards])
+        if outcome.verdict is Verdict.INVALID and len(refs) > 1:
+            for ref in refs:  # one job that can't be ended must not keep the others from it
+                final = self.final(ref)
+                if final is not None:
+                    alone, more = self._final_writes(ref, final)
+                    await self._commit_ends(alone, more, [ref])
+        log.debug("%d jobs end: %s", len(refs), outcome.verdict.value)
+
+    def final(self, ref: str) -> FinalRecord | None:
+        """The standing of a job that is over, or None."""
+        state = self._replica.state
+        record = state.jobs.get(ref)
+        if record is None:
+            return None
+        allocations = state.allocations.get(ref, {})
+        if record.cancelled:
+            return None if allocations else FinalRecord(wire.CANCELLED, record.spec.tasks)
+        self._view.update()
+        job = self._view.jobs.get(ref)
+        if job is None or job.ended < (1 if job.gang else record.spec.tasks):
+            return None
+        entries = [entry for allocation in allocations.values() for entry in allocation.tasks]
+        ended = sum(entry.state == records.ENDED for entry in entries)
+        if job.gang and ended and not any(entry.state == records.ASSIGNED for entry in entries):
+            return FinalRecord(wire.DONE, record.spec.tasks)  # members complete together, also those that were free
+        return FinalRecord(wire.DONE, record.spec.tasks) if ended >= record.spec.tasks else None
+
+    def _final_writes(self, ref: str, final: FinalRecord) -> tuple[list[Write], set[str]]:
+        state, most = self._replica.state, self._most_changes
+        writes = [Write(records.FINAL + ref, final), Write(records.JOB + ref, None)]
+        if ref in state.admitted:
+            writes.append(Write(records.ADMISSION + ref, None))
+        # What does not fit goes with the owners' clean-up of jobs that are over; all of it while changes are scarce.
+        rest = [str(key) for key in state.allocations.get(ref, {})]
+        if self._replica.store.ready(Urgency.ENDS):
+            writes += [Write(key, None) for key in rest[: most - len(writes)]]
+        return writes, set(rest[: self._most_guards])
--- /dev/null
+++ b/spurarch/coordination/renting.py
@@ -0,0 +1,172 @@
+"""The leader's dealings with the cloud: the machine list, rentals by what is short, and machines that never come up."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+import curio
+
+from spurarch.coordination.admission import Shortage
+from spurarch.coordination.best_fit import Room
+from spurarch.coordination.membership import Membership
+from spurarch.coordination.provisioning import Kind, Order, Turnover, plan_rentals, room_of
+from spurarch.coordination.stall_detector import StallDetector
+from spurarch.coordination.view import FleetView
+from spurarch.protocol import wire
+from spurarch.settings import Deployment, Tuning
+from spurarch.storage.cloud import Cloud, CloudError, NoCapacityError
+from spurarch.storage.replica import Replica
+
+log = logging.getLogger(__name__)
+
+LIST_EVERY_S = 5.0
+TYPES_EVERY_S = 60.0
+NEVER_UP_FACTOR = 4.0
+NEVER_UP_LEAST_S = 90.0
+FRESH_S = 3.0
+SLOW_BOOT_S = 60.0  # a machine that takes longer may never come up
+
+
+class Booting:
+    """A machine that was rented and has not reported yet."""
+
+    def __init__(self, kind: Kind, since: float) -> None:
+        self.kind, self.since = kind, since
+
+
+class Renting:
+    """Keeps types and prices known; rents while this process leads."""
+
+    def __init__(
+        self, replica: Replica, membership: Membership, view: FleetView, cloud: Cloud, stall_detector: StallDetector,
+        deployment: Deployment, tuning: Tuning, boot: str,
+    ) -> None:  # fmt: skip
+        self._replica, self._membership, self._view, self._cloud = replica, membership, view, cloud
+        self._deployment, self._tuning, self._boot, self._stall_detector = deployment, tuning, boot, stall_detector
+        self.shortages: list[Shortage] = []
+        self.booting: dict[str, Booting] = {}
+        self._closed: dict[Kind, float] = {}
+        self._hires = 0
+        self._term: int | None = None  # under which this process rents
+        self._listed = False
+
+    def begin_term(self, term: int) -> None:
+        """This process leads from now on."""
+        self._term = term
+
+    def end_term(self) -> None:
+        """This process leads no more, or can't be sure."""
+        self._term, self._listed = None, False
+
+    def coming(self, now: float) -> list[Room]:
+        """Room on machines that boot."""
+        self._settle_booting()
+        return [
+            room_of(self._view, self._view.offers[b.kind.type], b.kind)
+            for b in self.booting.values() if b.kind.type in self._view.offers and now - b.since < SLOW_BOOT_S
+        ]  # fmt: skip
+
+    def _still(self) -> bool:
+        """This process leads as far as a recent copy shows.
+
+        One that stood still would rent a second time, or return machines that the next leader uses by now.
+        """
+        now = time.monotonic()
+        fresh = now - self._replica.synced_at < FRESH_S and self._stall_detector.steady(now, self._replica.synced_at)
+        leading = self._term is not None and self._membership.confirmed_term == self._term
+        return leading and fresh and self._replica.store.trusted
+
+    async def run(self) -> None:
+        """Keeps types and prices known on every controller; the leader also lists and rents."""
+        types_at = list_at = -1e9
+        while True:
+            now = time.monotonic()
+            try:
+                if now - types_at > TYPES_EVERY_S or not self._view.offers:
+                    self._view.set_offers(await self._cloud.types())
+                    types_at = now
+                    await self._replica.ring()
+                if self._still():
+                    if now - list_at > LIST_EVERY_S or not self._listed:
+                        await self._list()
+                        list_at = now
+                    await self._rent()
+            except (CloudError, NoCapacityError) as err:
+                log.info("cloud: %s", err or "no capacity")
+            except curio.CancelledError:
+                raise
+            except Exception:  # a failure here must not end the controller
+                log.exception("cloud round failed")
+            await curio.sleep(self._tuning.rent_pause_s if self._view.offers else 0.3)
+
+    def _settle_booting(self) -> None:
+        machines = self._replica.state.machines
+        up = [name for name, booting in self.booting.items() if name in machines[booting.kind.zone]]
+        for name in up:
+            del self.booting[name]
+
+    async def _list(self) -> None:
+        """Finds machines that boot, and returns those that never come up or have failed unseen."""
+        machines = await self._cloud.machines()
+        now = time.monotonic()
+        self._listed = True
+        known = {name for zone in self._deployment.zones for name in self._replica.state.machines[zone]}
+        useless = []
+        for machine in machines:
+            if machine.id in known:
+                continue
+            offer = self._view.offers.get(machine.type)
+            patience = max(NEVER_UP_LEAST_S, NEVER_UP_FACTOR * (offer.boot_s if offer else 60.0))
+            if machine.state == wire.FAILED or machine.age_s > patience:
+                useless.append(machine.id)
+                self.booting.pop(machine.id, None)
+            elif machine.state == wire.BOOTING and machine.id not in self.booting:
+                kind = Kind(machine.type, machine.zone, machine.spot)
+                self.booting[machine.id] = Booting(kind, now - machine.age_s)
+        self._settle_booting()
+        for name, booting in list(self.booting.items()):
+            if now - booting.since > NEVER_UP_LEAST_S * 2:
+                del self.booting[name]
+        if useless:
+            log.info("returning machines that never came up: %s", " ".join(useless[:100]))
+            await self._cloud.release(useless[:100], self._still)
+
+    async def _rent(self) -> None:
+        self._settle_booting()
+        now = time.monotonic()
+        self._closed = {kind: until for kind, until in self._closed.items() if until > now}
+        dark = self._view.dark()
+        orders = plan_rentals(
+            self._view, self.shortages, [b.kind for b in self.booting.values() if b.kind.zone not in dark],
+            set(self._closed), [zone for zone in self._deployment.zones if zone not in dark],
+            Turnover(self._view, self._tuning.turnover_share), time.time(),
+        )  # fmt: skip
+        for order in orders:
+            await self._hire(order)
+
+    async def _hire(self, order: Order) -> None:
+        self._hires += 1
+        kind = order.kind
+        # The process's own nonce keeps a name from ever being used again, by whichever controller.
+        rental = wire.Rental(f"{self._boot}-{self._hires}", kind.type, kind.zone, kind.spot, order.count)
+        for _ in range(3):
+            try:
+                names = await self._cloud.rent(rental, self._still)
+                break
+            except NoCapacityError:
+                log.info("no capacity: %s", kind)
+                self._closed[kind] = time.monotonic() + self._tuning.capacity_backoff_s
+                return
+            except CloudError as err:
+                log.info("rental %s: %s", rental.request, err)
+                if not err.unsure:
+                    return
+        else:
+            return  # it may still be carried out: the machines then show in the list and in reports
+        now = time.monotonic()
+        log.info("rented %d of %d %s", len(names), order.count, kind)
+        for name in names:
+            self.booting[name] = Booting(kind, now)
+        if len(names) < order.count:
+            self._closed[kind] = now + self._tuning.capacity_backoff_s
--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -7,14 +7,16 @@
 from typing import Any
 
 import curio
+import msgspec
 
 from spurarch.coordination.admission import Grant
 from spurarch.coordination.admission_writer import AdmissionWriter
+from spurarch.coordination.job_ends import JobEnds
 from spurarch.coordination.leader import Leader
 from spurarch.coordination.team_ledger import Charge
 from spurarch.coordination.view import FleetView
 from spurarch.protocol import wire
-from spurarch.settings import StateLimits, Team
+from spurarch.settings import CloudLimits, Deployment, StateLimits, Team, Tuning, Workers
 from spurarch.storage import records
 from spurarch.storage.limits import Urgency
 from spurarch.storage.records import AllocationKey, AllocationRecord, FinalRecord, JobRecord, TaskEntry
@@ -23,17 +25,14 @@
 from tests.sim.clock import Clock
 from tests.test_scale import Fleet, submission
 
+LIMITS = StateLimits(100.0, 100.0, 16.0, 24)
 SOURCE = AllocationKey("a", "job-1", 0)
 
 
-def leader_of(fleet: Fleet) -> Any:
-    """As much of a leader as decides what an admission writes."""
-    leader = Leader.__new__(Leader)
-    leader.replica = SimpleNamespace(state=fleet.state)  # type: ignore[assignment]
-    leader.view = fleet.view
-    leader.deployment = SimpleNamespace(state=SimpleNamespace(txn_ops=24))  # type: ignore[assignment]
-    leader._most_changes = 24
-    return leader
+def ends_of(fleet: Fleet) -> JobEnds:
+    """What decides which jobs are over, without a state service."""
+    replica: Any = SimpleNamespace(state=fleet.state, store=SimpleNamespace(reserved_guards=0))
+    return JobEnds(replica, fleet.view, LIMITS)
 
 
 def writer_of(fleet: Fleet, replica: Any = None, most_changes: int = 24, term: int | None = 0) -> AdmissionWriter:
@@ -44,7 +43,7 @@
 
     replica = replica or SimpleNamespace(state=fleet.state)
     membership: Any = SimpleNamespace(confirmed_term=term)
-    return AdmissionWriter(replica, membership, fleet.view, StateLimits(100.0, 100.0, 16.0, most_changes), wake)
+    return AdmissionWriter(replica, membership, fleet.view, msgspec.structs.replace(LIMITS, txn_ops=most_changes), wake)
 
 
 class SlowReplica:
@@ -169,32 +168,34 @@
     job = JobRecord(submission("job-1", 3), 0.0)
     job.spec.kind = wire.GANG
     fleet.put(f"{records.JOB}job-1", job)
-    leader = leader_of(fleet)
+    ends = ends_of(fleet)
     ended, free = TaskEntry(0, records.ENDED, 1), TaskEntry(1, records.FREE, 1)
     finals = []
     for last in (TaskEntry(2, records.ASSIGNED, 1, "vm-1", 1), TaskEntry(2, records.FREE, 1)):
         fleet.put(str(SOURCE), AllocationRecord([ended, free, last]))
-        finals.append(leader._final("job-1"))
+        finals.append(ends.final("job-1"))
     assert finals == [None, FinalRecord(wire.DONE, 3)]
     job.spec.kind = wire.BATCH
     fleet.put(f"{records.JOB}job-2", JobRecord(submission("job-2", 2), 0.0))
     fleet.put(str(AllocationKey("a", "job-2", 0)), AllocationRecord([ended, free]))
-    assert leader._final("job-2") is None
+    assert ends.final("job-2") is None
 
 
 def test_a_controller_that_does_not_lead_gathers_no_news() -> None:
     """Ends of jobs have rounds of their own; what they collect from must not grow on controllers that never lead."""
     fleet = Fleet(3)
-    leader = leader_of(fleet)
-    leader.replica = SimpleNamespace(state=fleet.state, loaded=True)
-    leader.membership = SimpleNamespace(leading=False, confirmed_term=None)
-    leader._wakeup = curio.Event()
-    leader._changed_keys = fleet.state.subscribe()
-    assert leader._changed_keys
+    membership: Any = SimpleNamespace(leading=False, confirmed_term=None)
+    replica: Any = SimpleNamespace(
+        state=fleet.state, loaded=True, listen=curio.Event, store=SimpleNamespace(reserved_guards=0)
+    )
+    deployment = Deployment(["a"], [], Workers(1.0, 10.0, 30.0), LIMITS, CloudLimits(1.0, 1.0))
+    nothing: Any = None
+    leader = Leader(replica, membership, fleet.view, nothing, nothing, deployment, Tuning(), "boot", nothing)
+    assert leader._ends._changed_keys
 
     async def play() -> None:
         await leader._wakeup.set()  # as the controller's beat does
         await curio.ignore_after(2.0, leader.run)
 
     Clock().run(play)
-    assert not leader._changed_keys
+    assert not leader._ends._changed_keys
