--- a/tests/sim/measure_recovery.py
+++ b/tests/sim/measure_recovery.py
@@ -33,7 +33,8 @@
 from tests.outcomes import STARTED, TOLD, check, repeated_starts
 from tests.sim.loopback import Installation, Job, LoopbackSettings, play
 from tests.sim.recovery import RecoveryPlay
-from tests.sim.scenario import Play, Scenario
+from tests.sim.scenario import Play
+from tests.sim.scenario_text import Scenario
 
 LIMIT_S = 240.0
 TASKS = 3
--- a/tests/sim/recovery.py
+++ b/tests/sim/recovery.py
@@ -18,7 +18,8 @@
 from spurarch.storage.store import Store
 from tests.sim.fleet import Kind
 from tests.sim.net import SimNetwork
-from tests.sim.scenario import STATE, Play, Scenario
+from tests.sim.scenario import STATE, Play
+from tests.sim.scenario_text import Scenario
 
 ARCHIVE = "10.0.9.9:8090"
 
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -6,11 +6,6 @@
 from __future__ import annotations
 
 import json
-import re
-import shlex
-from dataclasses import dataclass, field
-from itertools import product
-from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -31,66 +26,17 @@
 )
 from spurarch.storage import records
 from spurarch.transport.http import NoAnswerError, Request
+from tests.sim import scenario_checks
 from tests.sim.clock import Clock
 from tests.sim.fleet import FakeCloud, Kind, World
 from tests.sim.net import Cut, SimNetwork, Wire
-from tests.sim.store import LATEST_S, FakeStore
+from tests.sim.scenario_text import Scenario, options
+from tests.sim.store import FakeStore
 
 FORGOTTEN_S = 75.0
-REVIVED_S, REVIVED_TIMES = 3.0, 3
-FIND_S = 5.5  # workers need so long to find another controller
 STATE, CLOUD = "10.2.0.1:2379", "10.2.0.2:8443"
 
 
-def options(words: list[str]) -> dict[str, str]:
-    """`name=value` words."""
-    return dict(word.split("=", 1) for word in words if "=" in word)
-
-
-@dataclass
-class Scenario:
-    """A scenario as it stands in its file."""
-
-    setup: list[list[str]] = field(default_factory=list)
-    actions: list[tuple[float, list[str]]] = field(default_factory=list)
-    expects: list[list[str]] = field(default_factory=list)
-    end: float = 60.0
-
-    @staticmethod
-    def variants(path: Path) -> list[dict[str, str]]:
-        """The values of every `vary NAME VALUE...` line, in all their combinations."""
-        lines = [shlex.split(line) for line in path.read_text().splitlines() if line.startswith("vary ")]
-        return [dict(zip([w[1] for w in lines], values, strict=True)) for values in product(*(w[2:] for w in lines))]
-
-    @staticmethod
-    def read(path: Path, values: dict[str, str] | None = None) -> Scenario:
-        """Reads a file; `{NAME}` stands for a value of a `vary` line, `{NAME+0.2}` for that much more."""
-        return Scenario.parse(path.read_text(), values or {})
-
-    @staticmethod
-    def parse(text: str, values: dict[str, str]) -> Scenario:
-        """Reads the text of a scenario."""
-        out = Scenario()
-
-        def value(match: re.Match[str]) -> str:
-            found = values[match[1]]
-            return f"{float(found) + float(match[2]):.3f}" if match[2] else found
-
-        for line in text.splitlines():
-            words = shlex.split(re.sub(r"\{(\w+)([+-][\d.]+)?\}", value, line), comments=True)
-            if not words or words[0] == "vary":
-                continue
-            if words[0] == "at":
-                out.actions.append((float(words[1]), words[2:]))
-            elif words[0] == "expect":
-                out.expects.append(words[1:])
-            elif words[0] == "end":
-                out.end = float(words[1])
-            else:
-                out.setup.append(words)
-        return out
-
-
 class Play:
     """One run of a scenario."""
 
@@ -335,41 +281,7 @@
             raise ValueError(f"unknown action: {words}")
 
     def _meets(self, words: list[str]) -> bool:
-        """Whether something is so at this moment; with `not` in front, whether it is not."""
-        if words[0] == "not":
-            return not self._meets(words[1:])
-        kind, *args = words
-        if kind == "confirmed":  # its user has been told that it is cancelled
-            return args[0] in self.world.cancelled_at
-        if kind == "runs":  # a task of it is on a machine
-            return any(task.name.startswith(args[0] + "/") for _, task in self.world.on_machines())
-        if kind == "up":
-            return args[0] in self.running
-        if kind == "leads":
-            return args[0] in self.running and self.controllers[args[0]].membership.leading
-        if kind == "holds":  # on record, as the state service has it
-            value = self.store.keys.get(f"live/part/{args[1]}")
-            return value is not None and value[0]["node"] == args[0]
-        if kind == "copied":  # the copy of a controller shows that a job is cancelled
-            record = self.controllers[args[0]].replica.state.jobs.get(args[1])
-            return record is not None and record.cancelled
-        if kind == "heard":  # a controller was told by another that a job is cancelled
-            return args[1] in self.controllers[args[0]].reachability.cancelled
-        if kind == "runs-all":  # all tasks of a gang run
-            job = self.world.jobs[args[0]]
-            states = [task.state for _, task in self.world.on_machines() if task.name.startswith(args[0] + "/")]
-            return states == ["running"] * job["legs"]
-        if kind == "gathers":  # a task of a gang waits for the others
-            return any(t.name.startswith(args[0] + "/") and t.state == "gathering" for _, t in self.world.on_machines())
-        if kind == "answered":  # a user got that status
-            return int(args[0]) in self.answers
-        if kind in ("recorded", "unrecorded"):  # a key with that beginning is on record, or none
-            return any(key.startswith(args[0]) for key in self.store.keys) == (kind == "recorded")
-        if kind == "known":  # the copy of a controller has the job
-            return args[1] in self.controllers[args[0]].replica.state.jobs
-        if kind == "loaded":
-            return args[0] in self.running and self.controllers[args[0]].replica.loaded
-        raise ValueError(f"unknown state of things: {words}")
+        return scenario_checks.meets(self, words)
 
     async def _restart(self, node: str, after: float) -> None:
         await curio.sleep(after)
@@ -476,39 +388,7 @@
     # Checks
 
     async def _watch_records(self) -> None:
-        """All the time: no machine that is gone for good is taken for room again.
-
-        While the state service is out, nobody can take it off the record, nor put anything onto it, nor while its
-        answers come too late. A late transaction may put it back, for as long as its owner needs to take it off;
-        whatever does that time and again is a fault. When all controllers end, none is left that knows of the return:
-        those that come back find out by the machine's silence, as for any machine that they never heard.
-        """
-        unheard_s = max(1.5 * self.limits["lease_s"], self.limits["cancel_s"] - self.limits["lease_s"] + FIND_S)
-        all_away_at = float("-inf")
-        back: dict[str, tuple[int, float]] = {}  # by key: the change that put it there again, and when that was seen
-        times: dict[str, int] = {}
-        while True:
-            await curio.sleep(0.05)
-            if not self.running:
-                all_away_at = self.clock.now
-            for key, (value, version, _) in self.store.keys.items():
-                if key.startswith("live/machine/") and value["open"]:
-                    name = key.rsplit("/", 1)[1]
-                    gone_at = self.cloud.machines[name].get("gone_at", self.clock.now)
-                    if gone_at <= all_away_at:
-                        gone_at = all_away_at + unheard_s
-                    gone_at = max(gone_at, self.store.outage_until, self.store.slow_until)
-                    if self.clock.now <= gone_at:
-                        back[key] = version, self.clock.now
-                        continue
-                    if back.setdefault(key, (version, gone_at))[0] != version:
-                        back[key] = version, self.clock.now
-                        times[key] = times.get(key, 0) + 1
-                    # The transaction that takes it off may itself be one that is carried out late.
-                    patience = REVIVED_S + (LATEST_S if self.clock.now < self.store.late_until + LATEST_S else 0.0)
-                    if self.clock.now - max(gone_at, back[key][1]) > patience or times.get(key, 0) > REVIVED_TIMES:
-                        self.problems.append(f"revived: {name} at {self.clock.now - 1000:.2f}")
-                        return
+        await scenario_checks.watch_records(self)
 
     def _check(self) -> None:
         self.problems += self.world.rules.broken + self.store.faults
@@ -520,41 +400,4 @@
                 self.problems.append(f"expected: {text}; told {self.told}")
 
     def _holds(self, words: list[str]) -> bool:
-        kind, args = words[0], words[1:]
-        if kind == "told":
-            return self.told.get(args[0], ["nothing"])[-1] == args[1]
-        if kind == "attempts":  # attempts JOB NUMBER: so many attempts of a gang have run
-            return self.world.gangs.starts.get(args[0], 0) == int(args[1])
-        if kind == "orderly":  # orderly JOB NUMBER: so many of them saved their progress when they were stopped
-            return self.world.gangs.orderly.get(args[0], 0) == int(args[1])
-        if kind == "on":  # on JOB COUNT: replicas that run at the end
-            found = [t for _, t in self.world.on_machines() if t.name.startswith(args[0] + "/")]
-            return len(found) == int(args[1])
-        if kind == "begun":  # begun JOB SECONDS: its first task started so soon after its submission
-            began = self.world.began.get(args[0], float("inf"))
-            return began - self.world.submitted[args[0]] <= float(args[1])
-        if kind == "session":  # session MACHINE NUMBER: its lease ran out so often, plus one
-            return self.world.workers[args[0]].session == int(args[1])
-        if kind == "late-writes":  # so many transactions were carried out late: met their conditions, and did not
-            return self.store.late_applied >= int(args[0]) and self.store.late_refused >= int(args[1])
-        if kind == "late-reports":
-            return self.world.late_reports >= int(args[0])
-        if kind == "leaders":  # so many leaders came to an end
-            return self.leaders_ended == int(args[0])
-        if kind == "repeated":  # repeated PREFIX NUMBER: so many transactions that created such keys were repeated
-            return self.store.repeated.get(args[0], 0) >= int(args[1])
-        if kind == "throttled":
-            return self.store.throttled <= int(args[0])
-        if kind == "machines":
-            up = sum(not m["gone"] for m in self.cloud.machines.values())
-            return int(args[0]) <= up <= int(args[1])
-        if kind in ("gone", "kept"):  # a machine was returned, or not
-            return bool(self.cloud.machines[args[0]]["gone"]) == (kind == "gone")
-        if kind == "started":
-            return self.world.rules.started <= int(args[0])
-        if kind == "started-once":  # each task, and once more for each worker that forgot it as its lease ended
-            rules = self.world.rules
-            return all(n <= 1 + rules.lost_with_lease.get(name, 0) for name, n in rules.starts.items())
-        if kind == "empty":  # empty PREFIX: no key with it is left in the state service
-            return not [key for key in self.store.keys if key.startswith(args[0])]
-        raise ValueError(f"unknown expectation: {words}")
+        return scenario_checks.holds(self, words)
--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -13,7 +13,8 @@
 from hypothesis import HealthCheck, Phase, given, seed, settings
 from hypothesis import strategies as st
 
-from tests.sim.scenario import Play, Scenario
+from tests.sim.scenario import Play
+from tests.sim.scenario_text import Scenario
 
 MORE = int(os.environ.get("SPURARCH_MEETINGS", "0"))
 QUIET_S = 125.0  # after the last trouble
--- a/tests/test_recovery_combinations.py
+++ b/tests/test_recovery_combinations.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from tests.sim.recovery import RecoveryPlay
-from tests.sim.scenario import Scenario
+from tests.sim.scenario_text import Scenario
 from tests.test_fault_combinations import BASE, QUIET_S, left, moments, timed
 
 MORE = int(os.environ.get("SPURARCH_LOSSES", "0"))
--- a/tests/test_recovery_faults.py
+++ b/tests/test_recovery_faults.py
@@ -13,7 +13,7 @@
 from spurarch.recovery.evidence import Source, Versioned
 from spurarch.storage.history import HistoryGuard, HistoryRecord
 from tests.sim.recovery import RecoveryPlay
-from tests.sim.scenario import Scenario
+from tests.sim.scenario_text import Scenario
 
 SCENARIOS = Path(__file__).parent / "scenarios" / "recovery"
 
--- a/tests/test_recovery_operators.py
+++ b/tests/test_recovery_operators.py
@@ -24,7 +24,8 @@
 from tests.sim.clock import Clock
 from tests.sim.net import SimNetwork, Wire
 from tests.sim.recovery import RecoveryPlay
-from tests.sim.scenario import STATE, Play, Scenario
+from tests.sim.scenario import STATE, Play
+from tests.sim.scenario_text import Scenario
 from tests.sim.store import FakeStore
 
 DAY = """
--- a/tests/test_recovery_scenarios.py
+++ b/tests/test_recovery_scenarios.py
@@ -12,7 +12,7 @@
 from spurarch.storage.seeds import PackedSeed
 from spurarch.storage.store import Outcome
 from tests.sim.recovery import RecoveryPlay
-from tests.sim.scenario import Scenario
+from tests.sim.scenario_text import Scenario
 
 # Those in which a rebuilt history goes on working, is lost again or taken over.
 SEEDED = {
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from tests.sim.scenario import Play, Scenario
+from tests.sim.scenario import Play
+from tests.sim.scenario_text import Scenario
 
 FILES = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 PLAYS = [(path, values) for path in FILES for values in Scenario.variants(path)]
--- a/tests/test_team_limit_combinations.py
+++ b/tests/test_team_limit_combinations.py
@@ -10,7 +10,8 @@
 from hypothesis import HealthCheck, Phase, given, seed, settings
 from hypothesis import strategies as st
 
-from tests.sim.scenario import Play, Scenario
+from tests.sim.scenario import Play
+from tests.sim.scenario_text import Scenario
 from tests.test_fault_combinations import MORE, machines, moments, nodes, troubles
 
 BASE = """team t max=60
