--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -10,9 +10,9 @@
 from itertools import chain
 
 import pytest
-from hypothesis import HealthCheck, Phase, given, seed, settings
 from hypothesis import strategies as st
 
+from tests.sim.random_days import last_trouble, play_days
 from tests.sim.scenario import Play
 from tests.sim.scenario_text import Scenario
 
@@ -79,8 +79,7 @@
 def play(text: str) -> list[str]:
     """What broke on a day."""
     scenario = Scenario.parse(BASE + text, {})
-    ends = [at + float(dict(w.split("=") for w in words if "=" in w).get("for", 0)) for at, words in scenario.actions]
-    scenario.end = max(ends) + QUIET_S
+    scenario.end = last_trouble(scenario) + QUIET_S
     revoking = {words[1] for _, words in scenario.actions if words[0] == "cancel"}
     may_be = {"done", "aborted"} if "cancel-at-end" in text else {"done"}
     played = Play(scenario)
@@ -94,12 +93,4 @@
 
 @pytest.mark.parametrize("part", range(4))  # none of them long, on a slow machine either
 def test_meetings(part: int) -> None:
-    @settings(
-        max_examples=MORE // 4 or 6, deadline=None, database=None, print_blob=False,
-        phases=[Phase.generate, Phase.shrink] if MORE else [Phase.generate], suppress_health_check=list(HealthCheck),
-    )  # fmt: skip
-    @given(days)
-    def meet(text: str) -> None:
-        assert play(text) == [], text
-
-    (meet if MORE else seed(part)(meet))()
+    play_days(days, play, part, 6, MORE // 4)
--- a/tests/test_recovery_combinations.py
+++ b/tests/test_recovery_combinations.py
@@ -10,9 +10,9 @@
 from itertools import chain
 
 import pytest
-from hypothesis import HealthCheck, Phase, given, seed, settings
 from hypothesis import strategies as st
 
+from tests.sim.random_days import last_trouble, play_days
 from tests.sim.recovery import RecoveryPlay
 from tests.sim.scenario_text import Scenario
 from tests.test_fault_combinations import BASE, QUIET_S, left, moments, timed
@@ -42,8 +42,9 @@
     """What broke on a day."""
     whole = f"answers archived\n{BASE}at 8 save early\nat 16 save later\n{text}"
     scenario = Scenario.parse(whole, {})
-    ends = [at + float(dict(w.split("=") for w in words if "=" in w).get("for", 0)) for at, words in scenario.actions]
-    scenario.end = max(ends) + QUIET_S + 40.0  # a rebuilding may have to wait for workers that are not heard
+    scenario.end = (
+        last_trouble(scenario) + QUIET_S + 40.0
+    )  # a rebuilding may have to wait for workers that are not heard
     revoking = {words[1] for _, words in scenario.actions if words[0] == "cancel"}
     may_be = {"done", "aborted"} if "cancel-at-end" in text else {"done"}
     played = RecoveryPlay(scenario)
@@ -53,12 +54,4 @@
 
 @pytest.mark.parametrize("group", range(3))
 def test_losses_among_other_troubles(group: int) -> None:
-    @settings(
-        max_examples=MORE // 3 or 4, deadline=None, database=None, print_blob=False,
-        phases=[Phase.generate, Phase.shrink] if MORE else [Phase.generate], suppress_health_check=list(HealthCheck),
-    )  # fmt: skip
-    @given(days)
-    def lose(text: str) -> None:
-        assert play(text) == [], text
-
-    (lose if MORE else seed(group)(lose))()
+    play_days(days, play, group, 4, MORE // 3)
--- a/tests/test_team_limit_combinations.py
+++ b/tests/test_team_limit_combinations.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import HealthCheck, Phase, given, seed, settings
 from hypothesis import strategies as st
 
+from tests.sim.random_days import last_trouble, play_days
 from tests.sim.scenario import Play
 from tests.sim.scenario_text import Scenario
 from tests.test_fault_combinations import MORE, machines, moments, nodes, troubles
@@ -63,8 +63,7 @@
     services = [line.split()[3] for line in (BASE + text).splitlines() if "kind=daemon" in line]
     late = "\n".join(f"at {DAY_S + 15} cancel {ref}" for ref in services if ref != "job-1")
     scenario = Scenario.parse(f"{BASE}{text}\n{late}\n", {})
-    ends = [at + float(dict(w.split("=") for w in words if "=" in w).get("for", 0)) for at, words in scenario.actions]
-    scenario.end = max(ends) + QUIET_S
+    scenario.end = last_trouble(scenario) + QUIET_S
     played = Play(scenario)
     played.run()
     last = {ref: played.told.get(ref, ["nothing"])[-1] for ref in jobs if ref != "job-1"}
@@ -74,12 +73,4 @@
 
 @pytest.mark.parametrize("part", range(3))
 def test_teams_stay_within_their_limits(part: int) -> None:
-    @settings(
-        max_examples=MORE // 3 or 5, deadline=None, database=None, print_blob=False,
-        phases=[Phase.generate, Phase.shrink] if MORE else [Phase.generate], suppress_health_check=list(HealthCheck),
-    )  # fmt: skip
-    @given(days)
-    def meet(text: str) -> None:
-        assert play(text) == [], text
-
-    (meet if MORE else seed(part)(meet))()
+    play_days(days, play, part, 5, MORE // 3)
