--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -78,9 +78,12 @@
         self.submitted: dict[str, float] = {}
         self.random = Random(1)
         self.late_reports_until, self.late_reports_share, self.late_reports = 0.0, 0.0, 0
-        self.worker_address = "10.1.0.{}:9000"
         self.ended: list[str] = []  # jobs of which the last task has just ended
 
+    def worker_address(self, number: int) -> str:
+        """Where the worker of a machine is reached."""
+        return f"10.1.0.{number}:9000"
+
     def is_gang(self, job: str) -> bool:
         """Its tasks start together."""
         return bool(self.jobs[job]["gait"] == "gang")
@@ -145,7 +148,7 @@
         self, world: World, name: str, kind: Kind, zone: str, spot: bool, nodes: list[tuple[str, str]]
     ) -> None:
         self.world, self.name, self.kind, self.zone, self.spot = world, name, kind, zone, spot
-        self.addr = world.worker_address.format(name[3:].lstrip("0") or "0")
+        self.addr = world.worker_address(int(name[3:]))
         self.nodes, self.node = nodes, 0
         self.up = True
         self.hang_until = 0.0
--- a/tests/sim/loopback.py
+++ b/tests/sim/loopback.py
@@ -29,6 +29,8 @@
 
 ROOT = Path(__file__).parent.parent.parent
 CONNECTIONS = 200
+HOSTS = 250  # numbers that the last parts of an address may have
+WORKER_PORT = 9000
 UNREACHED = 0  # in the place of a status: no connection could be opened
 PR_SET_PDEATHSIG = 1  # of prctl(2)
 PLATFORM = """
@@ -142,8 +144,11 @@
     def __init__(self, log: OutcomeLog, *args: Any) -> None:
         super().__init__(*args)
         self.outcomes = log
-        # Of this process alone: runs of the tests beside each other must not share their workers' addresses.
-        self.worker_address = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}." + "{}:9000"
+
+    def worker_address(self, number: int) -> str:
+        """Of this process alone: runs of the tests beside each other must not share their workers' addresses."""
+        host = f"127.{1 + os.getpid() % HOSTS}.{os.getpid() // HOSTS % HOSTS}.{1 + number % HOSTS}"
+        return f"{host}:{WORKER_PORT + number // HOSTS}"
 
     def _note(self, kind: str, task: SimTask, machine: str) -> None:
         job, index = task.name.split("/")
--- a/tests/sim/relay.py
+++ b/tests/sim/relay.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import logging
+
 import curio
 
 from spurarch.transport import sockets
 
+log = logging.getLogger(__name__)
+
 MOST_OPEN = 64
 READ_SIZE = 65536
 LOOK_S = 0.05
@@ -36,9 +40,12 @@
             await server.close()
 
     async def _pump(self, source: curio.io.Socket, target: curio.io.Socket) -> None:
-        while data := await source.recv(READ_SIZE):
-            while self.held:
-                await curio.sleep(LOOK_S)
-            if self.refused:
-                return
-            await target.sendall(data)
+        try:
+            while data := await source.recv(READ_SIZE):
+                while self.held:
+                    await curio.sleep(LOOK_S)
+                if self.refused:
+                    return
+                await target.sendall(data)
+        except OSError as err:  # a controller that was killed resets its connections
+            log.debug("relay: %r", err)
