--- a/spurarch/coordination/admission.py
+++ b/spurarch/coordination/admission.py
@@ -165,8 +165,11 @@
 
     def _allowance(self, job: JobView) -> int:
         """How many more tasks the team's limit allows."""
-        beside = self._planned.get(job.team, NOTHING) - self.view.ledger.reserved_for(job.ref)
-        return self.view.ledger.tasks_allowed(job.team, job.charge_each, job.tasks, beside)
+        ledger, beside = self.view.ledger, self._planned.get(job.team, NOTHING)
+        reserved = ledger.reserved_for(job.ref)
+        if reserved is not NOTHING:
+            beside = beside - reserved  # this plan stands in the place of the one under way
+        return ledger.tasks_allowed(job.team, job.charge_each, job.tasks, beside)
 
     def _book(self, job: JobView, tasks: int) -> None:
         """Counts planned tasks towards their team; an admission of the job that is under way is planned again here."""
--- a/spurarch/coordination/team_ledger.py
+++ b/spurarch/coordination/team_ledger.py
@@ -91,6 +91,8 @@
 
     def reserved_for(self, job: str) -> Charge:
         """What admissions under way of one job take."""
+        if not self._reservations:
+            return NOTHING
         return sum((r.charge for r in self._reservations if r.job == job), NOTHING)
 
     def change(self, team: int, charge: Charge) -> None:
@@ -102,12 +104,12 @@
         """How many more equal tasks the team's limit allows, `beside` what is on record and under way."""
         if team not in self._limits or team in self._stopped or team in self.uncertain:
             return 0
-        total = self.recorded(team) + self.reserved(team) + beside
-        most_charge = self._most(team)
-        if most_charge.cpus > 0 and each.cpus > 0:
-            most = min(most, (most_charge.cpus - total.cpus) // each.cpus)
-        if most_charge.gpus > 0 and each.gpus > 0:
-            most = min(most, (most_charge.gpus - total.gpus) // each.gpus)
+        limit = self._mosts.get(team) or self._most(team)
+        recorded, reserved = self._recorded.get(team, NOTHING), self._reserved.get(team, NOTHING)
+        if limit.cpus > 0 and each.cpus > 0:
+            most = min(most, (limit.cpus - recorded.cpus - reserved.cpus - beside.cpus) // each.cpus)
+        if limit.gpus > 0 and each.gpus > 0:
+            most = min(most, (limit.gpus - recorded.gpus - reserved.gpus - beside.gpus) // each.gpus)
         return max(0, most)
 
     def reserve(self, job: str, team: int, each: Charge, tasks: int, term: int) -> Reservation | None:
--- a/tests/test_team_ledger.py
+++ b/tests/test_team_ledger.py
@@ -11,6 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from spurarch.coordination.admission import Admission
 from spurarch.coordination.ledger_audit import ENTRIES_AT_ONCE, PASS_EVERY_S, LedgerAudit
 from spurarch.coordination.team_ledger import NOTHING, Charge, TeamLedger
 from spurarch.coordination.view import FleetView
@@ -298,3 +299,18 @@
     assert records.team_of(f"{records.JOB}job-9", JOB_WITH_A_WRONG_FIELD) == "t"
     assert records.team_of(f"{records.JOB}job-9", b'{"spec":{}}') is None
     assert records.team_of(f"{records.ADMISSION}job-9", b"1") is None
+
+
+def test_a_job_that_waits_for_its_team_costs_a_round_little() -> None:
+    """Most jobs of a team at its limit are asked about in every round: it took 19 calls for each before the ledger."""
+
+    def cost(jobs: int) -> int:
+        fleet = Fleet(0)
+        fleet.view = FleetView(fleet.state, [Team("t", cpus_max=4.0)])
+        for i in range(jobs):
+            fleet.put(f"{records.JOB}job-{i}", JobRecord(submission(f"job-{i}", 4), 0.0))
+        fleet.put(str(AllocationKey("a", "job-0", 0)), Fleet.allot(0, records.ASSIGNED))
+        fleet.view.update()
+        return calls(lambda: Admission(fleet.view, 2.0).run(None, lambda: False, 24))
+
+    assert (cost(800) - cost(400)) / 400 < 24
