Loopback: controllers are stopped before the stand-ins that they call

A large soak run ended with curio's 'New tasks created during shutdown': controllers that were still alive opened connections while the stand-ins were being closed.

--- a/tests/sim/loopback.py
+++ b/tests/sim/loopback.py
@@ -442,7 +442,11 @@
         await curio.sleep(0.2)
         if serving.terminated:
             raise AssertionError("the stand-ins ended")
-        await story(installation)
+        try:
+            await story(installation)
+        finally:
+            # Before the stand-ins end: a controller that still calls them would open connections while curio closes all.
+            installation.stop()
 
     try:
         curio.run(main)
