Team ledger: one condition where two stood, and nothing built for lines of log that are not written

The ledger kept reasons that nobody read and named a team in three places; the check of limits asked the same twice; a refused admission had its totals put into words in every round although such lines are written for debugging only; a round asked whether it has a term, which its caller has just settled; and a decoder for unreadable records was made at every start. No behaviour changed.

--- a/spurarch/coordination/admission_writer.py
+++ b/spurarch/coordination/admission_writer.py
@@ -215,12 +215,7 @@
         for change in batch.changes:
             job = self.view.jobs[change.job]
             reservation = ledger.reserve(change.job, job.team, job.charge_each, change.tasks, term)
-            log.log(
-                logging.DEBUG if reservation is None else logging.INFO,
-                "%s %d tasks of %s: term %d, revision %d, team %s: %s",
-                "not admitting" if reservation is None else "admitting", change.tasks, change.job, term,
-                self.replica.state.revision, self.view.teams.name(job.team), ledger.describe(job.team),
-            )  # fmt: skip
+            self._log_admission(change, term, reservation is not None)
             if reservation is None:
                 continue
             kept.append(change)
@@ -228,6 +223,17 @@
         batch.changes = kept
         return reservations
 
+    def _log_admission(self, change: JobAdmission, term: int, admitted: bool) -> None:
+        """By which totals it was decided. A refused one may be planned again in every round, so that is for debugging."""
+        level = logging.INFO if admitted else logging.DEBUG
+        if log.isEnabledFor(level):
+            team = self.view.jobs[change.job].team
+            log.log(
+                level, "%s %d tasks of %s: term %d, revision %d, team %s: %s",
+                "admitting" if admitted else "not admitting", change.tasks, change.job, term,
+                self.replica.state.revision, self.view.teams.name(team), self.view.ledger.describe(team),
+            )  # fmt: skip
+
     def _settle(self, reservations: list[Reservation], outcome: Outcome) -> None:
         """Releases reservations once the table shows what became of the transaction; until then they stand.
 
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -76,7 +76,7 @@
             return
         if self._term != term:
             self._begin_term(term)
-        await self._round()
+        await self._round(term)
 
     def _begin_term(self, term: int) -> None:
         self._term = term
@@ -87,15 +87,14 @@
         self._audit.check_all()
         log.info("term %d begins, by records of revision %d", term, self.replica.state.revision)
 
-    async def _round(self) -> None:
+    async def _round(self, term: int) -> None:
         now = time.monotonic()
         if now < self._next_full:
             return
         share = self.deployment.limits.cpu
         budget = RoundBudget(self.tuning.budget_ms / 1000, share)
         self.view.update()
-        if self._term is not None:
-            self.view.ledger.release_shown(self.replica.state.revision, self._term)
+        self.view.ledger.release_shown(self.replica.state.revision, term)
         scarce = min(1.0, max(0.0, 1.0 - self.replica.store.write_level()))
         admission = Admission(
             self.view, time.time(), self.tuning.ahead_s, self.tuning.longest_wait_s,
--- a/spurarch/coordination/team_ledger.py
+++ b/spurarch/coordination/team_ledger.py
@@ -76,7 +76,7 @@
         self._recorded: dict[int, Charge] = {}
         self._reserved: dict[int, Charge] = {}
         self._reservations: list[Reservation] = []
-        self._stopped: dict[int, str] = {}  # teams that are admitted nothing, and why
+        self._stopped: set[int] = set()  # teams that are admitted nothing until the ledger is compared again
         self._before: dict[int, Charge] = {}  # teams whose records changed since the last check, and their totals then
         self.uncertain: set[int] = set()  # teams of whose jobs a record can't be read: what they take is not known
         self.violations = Violations()
@@ -143,27 +143,28 @@
         A limit that was lowered leaves a total beyond it: nothing more is admitted, and nothing is stopped.
         """
         for team, before in self._before.items():
-            most = self._most(team)
-            total = self.recorded(team)
-            if not whole or (not 0 < most.cpus < total.cpus and not 0 < most.gpus < total.gpus):
-                continue
-            rose = total.beyond(before)
-            if (rose.cpus and 0 < most.cpus < total.cpus) or (rose.gpus and 0 < most.gpus < total.gpus):
-                self.violations.note(f"team {self._limits[team].name} rose beyond its limit: {self.describe(team)}")
+            most, total = self._most(team), self.recorded(team)
+            cpus_rose_beyond = 0 < most.cpus < total.cpus > before.cpus
+            gpus_rose_beyond = 0 < most.gpus < total.gpus > before.gpus
+            if whole and (cpus_rose_beyond or gpus_rose_beyond):
+                self.violations.note(f"team {self._name(team)} rose beyond its limit: {self.describe(team)}")
         self._before.clear()
 
     def stop(self, team: int, reason: str) -> None:
         """Admits nothing more to a team whose charges are not known for certain; what runs goes on."""
         if team not in self._stopped:
-            limit = self._limits.get(team)
-            log.error("nothing more is admitted to team %s: %s", limit.name if limit is not None else team, reason)
-        self._stopped[team] = reason
+            log.error("nothing more is admitted to team %s: %s", self._name(team), reason)
+        self._stopped.add(team)
 
     def resume(self, team: int) -> None:
         """The team's charges are known again."""
-        if self._stopped.pop(team, None) is not None:
-            limit = self._limits.get(team)
-            log.info("team %s is admitted again", limit.name if limit is not None else team)
+        if team in self._stopped:
+            self._stopped.remove(team)
+            log.info("team %s is admitted again", self._name(team))
+
+    def _name(self, team: int) -> str:
+        limit = self._limits.get(team)
+        return limit.name if limit is not None else str(team)
 
     @property
     def stopped(self) -> list[int]:
@@ -174,7 +175,7 @@
         """The teams that are charged for anything, those closest to their limits first, for a line of log."""
         used = [team for team in self._limits if self.recorded(team) != NOTHING or self.reserved(team) != NOTHING]
         used.sort(key=self._cpus_left)
-        shown = [f"{self._limits[team].name} {self.describe(team)}" for team in used[:TEAMS_SHOWN]]
+        shown = [f"{self._name(team)} {self.describe(team)}" for team in used[:TEAMS_SHOWN]]
         return "; ".join(shown) if shown else "none is charged"
 
     def _cpus_left(self, team: int) -> float:
--- a/spurarch/storage/records.py
+++ b/spurarch/storage/records.py
@@ -158,15 +158,12 @@
     spec: SubmittedTeam
 
 
-_team_decoder = msgspec.json.Decoder(_TeamOfJob)
-
-
 def team_of(key: str, raw: bytes | msgspec.Raw) -> str | None:
     """The team in a job's record that can't be read otherwise; None if that can't be told either."""
     if not key.startswith(JOB):
         return None
     try:
-        return _team_decoder.decode(raw).spec.team
+        return msgspec.json.decode(raw, type=_TeamOfJob).spec.team
     except msgspec.DecodeError:
         return None
 
