--- a/tests/sim/relay.py
+++ b/tests/sim/relay.py
@@ -20,13 +20,13 @@
     """One direction: requests of one controller, and their answers."""
 
     def __init__(self, address: str, target: str) -> None:
-        self._address, self._target = sockets.split_address(address), sockets.split_address(target)
+        self.address, self._target = address, sockets.split_address(target)
         self.held = False  # what is sent arrives when this ends
         self.refused = False
 
     async def run(self) -> None:
         """Relays until cancelled."""
-        await sockets.serve(self._address, self._client, MOST_OPEN)
+        await sockets.serve(sockets.split_address(self.address), self._client, MOST_OPEN)
 
     async def _client(self, client: curio.io.Socket) -> None:
         if self.refused:
--- a/tests/sim/soak.py
+++ b/tests/sim/soak.py
@@ -23,15 +23,14 @@
 
 from spurarch.transport.http import Handler, HttpClient, NoAnswerError, Request, Response
 from tests.outcomes import ACCEPTED, TOLD, Event
-from tests.sim.fleet import SimTask, Worker
-from tests.sim.loopback import Installation, LoggingWorld, LoopbackWire, play
+from tests.sim.loopback import Installation, free_addresses, play
 from tests.sim.relay import Relay
 from tests.sim.soak_plan import SIZES, TROUBLES, PlannedJob, SoakPlan, Trouble, make_plan
+from tests.sim.soak_world import LATE_COMMAND_S, FaultyWire, SoakWorld
 
 SETTLE_S = 150.0  # after the last trouble, for all jobs to end; a fault keeps them for ever
 SLOW_READ_S, SLOW_PAGE_S = 0.4, 0.6
-LATE_SHARE = 0.4
-LATE_COMMAND_S = (2.0, 8.0)
+LATE_SHARE = 0.4  # of transactions and reports
 REPEATED_MOST = 200  # of the latest transactions
 SERIES = 4  # leaders that end one after the other
 FINAL = {"done", "aborted"}
@@ -54,67 +53,6 @@
     directory: str = ""
 
 
-class FaultyWire(LoopbackWire):
-    """Real sockets with troubles between workers and controllers."""
-
-    def __init__(self, random: Random) -> None:
-        super().__init__()
-        self._random = random
-        self.deaf: dict[str, float] = {}  # by machine, until when
-        self.mute: dict[str, float] = {}
-        self.late_commands_until = 0.0
-
-    async def request(self, source: str, address: str, request: Request, timeout_s: float) -> Response:
-        """One request of a worker."""
-        if time.monotonic() < self.mute.get(source, 0.0):
-            await curio.sleep(timeout_s)
-            raise NoAnswerError("mute", False)
-        response = await super().request(source, address, request, timeout_s)
-        if time.monotonic() < self.deaf.get(source, 0.0):
-            await curio.sleep(timeout_s)
-            raise NoAnswerError("deaf", True)
-        return response
-
-    def _door(self, address: str) -> Handler:
-        inner = super()._door(address)
-
-        async def handle(request: Request) -> Response:
-            machine = self.hosts.get(address)
-            if machine is not None and time.monotonic() < self.deaf.get(machine, 0.0):
-                await curio.sleep(max(0.0, self.deaf[machine] - time.monotonic()))
-                return Response(503)
-            late = machine is not None and request.target == "/do" and time.monotonic() < self.late_commands_until
-            if late and self._random.random() < LATE_SHARE:
-                await curio.sleep(self._random.uniform(*LATE_COMMAND_S))
-            return await inner(request)
-
-        return handle
-
-
-class SoakWorld(LoggingWorld):
-    """Checks each start with all other workers at the same moment, and keeps how close teams came to their limits."""
-
-    def __init__(self, *args: Any) -> None:
-        super().__init__(*args)
-        self._stepping = False
-        self.most_used: dict[str, float] = {}
-
-    def check_start(self, worker: Worker, task: SimTask) -> None:
-        """Has the others kill what their leases no longer cover first: this process may be late."""
-        if not self._stepping:
-            self._stepping = True
-            for other in self.workers.values():
-                if other is not worker:
-                    other.step()
-            self._stepping = False
-        super().check_start(worker, task)
-        team = self.jobs[task.name.split("/")[0]]["crew"]
-        held = [task for other, task in self.on_machines() if not other.frozen_for_good()]
-        jobs = [self.jobs[task.name.split("/")[0]] for task in held]
-        used = sum(job["vcpus"] for job in jobs if job["crew"] == team)
-        self.most_used[team] = max(self.most_used.get(team, 0.0), used / self.limits[team])
-
-
 class Soak(Installation):
     """One run."""
 
@@ -156,10 +94,8 @@
     def peer_address(self, index: int, other: int) -> str:
         """Each direction between two controllers goes through a relay."""
         if (index, other) not in self.relays:
-            host, port = "127.0.0.1", _free_port()
-            self.relays[index, other] = Relay(f"{host}:{port}", self.backs[other])
-        relay = self.relays[index, other]
-        return "{}:{}".format(*relay._address)
+            self.relays[index, other] = Relay(free_addresses(1)[0], self.backs[other])
+        return self.relays[index, other].address
 
     def features(self) -> Path:
         """The operators' settings: all defaults, but for a short lease of members."""
@@ -440,12 +376,6 @@
         return self.problems
 
 
-def _free_port() -> int:
-    from tests.sim.loopback import free_addresses
-
-    return int(free_addresses(1)[0].split(":")[1])
-
-
 def soak(plan: SoakPlan, directory: Path, planted: str | None = None) -> SoakResult:
     """Plays one run."""
     directory.mkdir(parents=True, exist_ok=True)
