Ignore late responses to direct commands from an incarnation whose lease has expired

What callers could see: an owner took a machine for active again, and placed tasks there, after it had concluded from the machine's silence that the worker's lease had expired. The starts were refused (409) and the tasks placed anew.

Cause: heartbeats of an expired incarnation are refused, but responses to direct commands, which carry the same status, were applied. A request waits up to 4 s for its response, so a response that was sent before the lease ended can arrive after it. Stops of cancelled tasks are sent to silent machines, so the situation needs only one of them.

Change: `StatusUpdater.apply` ignores messages of an incarnation whose lease has expired, whatever brought them.

--- a/spurarch/coordination/partition/statuses.py
+++ b/spurarch/coordination/partition/statuses.py
@@ -35,12 +35,13 @@
     def apply(self, machine: Machine, heartbeat: wire.Heartbeat, now: float) -> None:
         """Applies a message of a worker, unless it is outdated or its fencing token was not issued by this owner.
 
+        A message is outdated if it or a newer one has been applied, or if the lease of its incarnation has expired.
         A machine becomes active with the first message that carries a fencing token issued since this owner added the
         machine. Duplicates of older messages cannot carry such a token. So they never reactivate a released machine,
         nor make a new owner consider a machine active that no longer sends heartbeats, however many duplicates arrive.
         """
         state = self._state
-        if machine.has_applied(heartbeat):
+        if machine.has_applied(heartbeat) or heartbeat.incarnation <= machine.expired_incarnation:
             return
         lowest_token = state.lowest_token
         if (
