Detect an ended attempt that runs again, and log which command came first

Cause: when a task runs twice, the log didn't tell why. A worker that runs an attempt after its end was stopped as a task that no record assigns, without a line. So a `forget` that came too early, an absence that was concluded too early, two owners and a task that was admitted twice all looked the same.

Change: a partition keeps its newest ended attempts with the proof of their end (exit reported, not listed, incarnation ended, lease expired, machine released) and the path of the command that made the worker forget them. A newer message that lists one of them as not exited is a violated invariant, which is logged as an error and counted once, with both.

--- a/spurarch/coordination/partition/commands.py
+++ b/spurarch/coordination/partition/commands.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import logging
+
+from spurarch.coordination.partition.ended_attempts import CommandPath
 from spurarch.coordination.partition.machine import AttemptPhase, Machine, MachineState, TaskAttempt, TaskKey
 from spurarch.coordination.partition.state import ArchiveCoverage, PartitionContext, PartitionState
 from spurarch.protocol import wire
 
+log = logging.getLogger(__name__)
+
 MAX_UNARCHIVED_EXITS = 64  # exited tasks of one machine that wait for the archive and enlarge its heartbeats
 CHECKPOINT_MARGIN_S = 10.0  # after the end of the grace period, until the stop of a checkpointing task is repeated
 
@@ -28,12 +33,13 @@
             heartbeat: The heartbeat that is answered, or None for direct commands.
         """
         out: list[wire.Command] = []
+        path = CommandPath.DIRECT if heartbeat is None else CommandPath.HEARTBEAT_RESPONSE
         if machine.late_commands_fenced:
             # Without this check, a start command that arrives late would run a forgotten attempt again.
             forget = machine.exits_to_forget
             if self._context.coverage is not None:
                 forget = self._forgettable_exits(machine, self._context.coverage)
-            out += [wire.Command(wire.FORGET, wire.task_name(*key), attempt) for key, attempt in forget.items()]
+            out += [self._forget(machine, wire.task_name(*key), attempt, path) for key, attempt in forget.items()]
         if heartbeat is not None:
             out += self._stops_for_unrecorded(machine, heartbeat)
         for attempt in machine.attempts.values():
@@ -47,8 +53,25 @@
             ):
                 self._state.transition(attempt, AttemptPhase.STARTING)
                 out.append(wire.Command(wire.START, wire.task_name(*attempt.key), attempt.number))
+        if out and log.isEnabledFor(logging.DEBUG):
+            self._log_planned(machine, path, out)
         return out
 
+    @staticmethod
+    def _log_planned(machine: Machine, path: CommandPath, commands: list[wire.Command]) -> None:
+        texts = [f"{command.op}:{command.task}:{command.attempt}" for command in commands]
+        log.debug(
+            "commands planned machine=%s path=%s sequence=%d commands=%s",
+            machine.name,
+            path.value,
+            machine.heartbeat_seq,
+            ",".join(texts),
+        )
+
+    def _forget(self, machine: Machine, task: str, attempt: int, path: CommandPath) -> wire.Command:
+        self._state.ended_attempts.forget_planned(machine.name, task, attempt, path)
+        return wire.Command(wire.FORGET, task, attempt)
+
     @staticmethod
     def _forgettable_exits(machine: Machine, coverage: ArchiveCoverage) -> dict[TaskKey, int]:
         """Returns the exited tasks that the worker may forget, with their attempt numbers.
@@ -106,8 +129,7 @@
             and self._context.time_since_cancellation(key[0]) is not None
         ]
 
-    @staticmethod
-    def _stops_for_unrecorded(machine: Machine, heartbeat: wire.Heartbeat) -> list[wire.Command]:
+    def _stops_for_unrecorded(self, machine: Machine, heartbeat: wire.Heartbeat) -> list[wire.Command]:
         """Returns stops and forgets for the listed tasks that no record assigns to this machine.
 
         Exited tasks in `machine.exits_to_forget` are left out, since `plan` handles them; entries of that table that
@@ -125,7 +147,7 @@
             elif task.state != wire.EXITED:
                 out.append(wire.Command(wire.STOP, task.task, task.attempt, 0.0))
             elif machine.late_commands_fenced:
-                out.append(wire.Command(wire.FORGET, task.task, task.attempt))
+                out.append(self._forget(machine, task.task, task.attempt, CommandPath.HEARTBEAT_RESPONSE))
         machine.exits_to_forget = listed
         return out
 
--- a/spurarch/coordination/partition/heartbeats.py
+++ b/spurarch/coordination/partition/heartbeats.py
@@ -5,6 +5,7 @@
 import logging
 
 from spurarch.coordination.partition.commands import CommandPlanner
+from spurarch.coordination.partition.ended_attempts import EndProof
 from spurarch.coordination.partition.machine import AttemptPhase, Machine, MachineState
 from spurarch.coordination.partition.state import PartitionState
 from spurarch.coordination.partition.statuses import StatusUpdater
@@ -139,4 +140,4 @@
         listed = {wire.split_task(task.task) for task in heartbeat.tasks}
         for attempt in stopping:
             if attempt.key not in listed and heartbeat.seq > attempt.start_sent_seq:
-                self._state.transition(attempt, AttemptPhase.GONE)
+                self._state.mark_gone(attempt, EndProof.NOT_LISTED)
--- a/spurarch/coordination/partition/partition.py
+++ b/spurarch/coordination/partition/partition.py
@@ -9,9 +9,10 @@
 
 from spurarch.coordination.partition.commands import CommandPlanner
 from spurarch.coordination.partition.direct_commands import DirectCommandPlanner
+from spurarch.coordination.partition.ended_attempts import EndProof
 from spurarch.coordination.partition.failures import FailureAttribution, JobBackoff
 from spurarch.coordination.partition.heartbeats import HeartbeatHandler
-from spurarch.coordination.partition.machine import AttemptPhase, Machine, MachineState, TaskAttempt
+from spurarch.coordination.partition.machine import Machine, MachineState, TaskAttempt
 from spurarch.coordination.partition.state import PartitionContext, PartitionState
 from spurarch.coordination.partition.statuses import StatusUpdater
 from spurarch.coordination.partition.stopping import StopRequests
@@ -93,7 +94,7 @@
         if machine is not None:
             machine.transition(MachineState.RELEASED)
             for attempt in machine.attempts.values():
-                self.state.transition(attempt, AttemptPhase.GONE)
+                self.state.mark_gone(attempt, EndProof.MACHINE_RELEASED)
 
     # Time
 
@@ -120,7 +121,7 @@
                 machine.unconfirmed_cancellation_at = min(
                     attempt.job_cancelled_at, machine.unconfirmed_cancellation_at or attempt.job_cancelled_at
                 )
-            self.state.transition(attempt, AttemptPhase.GONE)
+            self.state.mark_gone(attempt, EndProof.LEASE_EXPIRED)
 
     # Stops
 
--- a/spurarch/coordination/partition/record_follower.py
+++ b/spurarch/coordination/partition/record_follower.py
@@ -12,6 +12,7 @@
     is_uncancelled_gang,
     is_uncancelled_job,
 )
+from spurarch.coordination.partition.ended_attempts import EndProof
 from spurarch.coordination.partition.failures import FailureAttribution
 from spurarch.coordination.partition.machine import AttemptPhase, MachineState, TaskAttempt
 from spurarch.coordination.partition.state import PartitionContext, PartitionState
@@ -135,8 +136,10 @@
         incarnation_ended = attempt.incarnation < machine.incarnation or (
             machine.state is MachineState.LEASE_EXPIRED and attempt.incarnation <= machine.expired_incarnation
         )
-        if incarnation_ended or machine.state is MachineState.RELEASED:
-            state.transition(attempt, AttemptPhase.GONE)
+        if machine.state is MachineState.RELEASED:
+            state.mark_gone(attempt, EndProof.MACHINE_RELEASED)
+        elif incarnation_ended:
+            state.mark_gone(attempt, EndProof.INCARNATION_ENDED)
         if not live:
             self._stops.stop_cancelled(attempt)
 
--- a/spurarch/coordination/partition/state.py
+++ b/spurarch/coordination/partition/state.py
@@ -13,6 +13,7 @@
 
 from msgspec import Struct, field
 
+from spurarch.coordination.partition.ended_attempts import EndedAttempts, EndProof
 from spurarch.coordination.partition.gang import Gangs
 from spurarch.coordination.partition.machine import AttemptPhase, Machine, TaskAttempt, TaskKey
 from spurarch.coordination.runtime.invariants import InvariantViolations
@@ -79,6 +80,7 @@
         self.allocations_by_job: dict[str, set[AllocationKey]] = defaultdict(set)
         self.unassigned: dict[AllocationKey, list[TaskEntry]] = {}
         self.gangs = Gangs()
+        self.ended_attempts = EndedAttempts()
         self.terminal_attempts: dict[AllocationKey, dict[int, TaskAttempt]] = defaultdict(dict)  # not recorded yet
         self.allocations_to_restart: set[AllocationKey] = set()  # with a terminal attempt of an incomplete task
         self.orphaned_allocations: set[AllocationKey] = set()  # of jobs whose record is missing or cancelled
@@ -112,16 +114,27 @@
 
     # Attempts
 
-    def transition(self, attempt: TaskAttempt, phase: AttemptPhase, exit_reason: str | None = None) -> bool:
+    def mark_gone(self, attempt: TaskAttempt, proof: EndProof) -> bool:
+        """Changes an attempt's phase to GONE; returns False if it has ended already."""
+        return self.transition(attempt, AttemptPhase.GONE, proof=proof)
+
+    def transition(
+        self,
+        attempt: TaskAttempt,
+        phase: AttemptPhase,
+        exit_reason: str | None = None,
+        proof: EndProof = EndProof.EXIT_REPORTED,
+    ) -> bool:
         """Changes an attempt's phase; returns False for an invalid change.
 
-        A terminal attempt is queued for recording and counts as a scheduling trigger. The attempt's gang is marked as
-        changed.
+        A terminal attempt is queued for recording, counts as a scheduling trigger, and is kept with the proof of its
+        end. The attempt's gang is marked as changed.
         """
         if not attempt.transition(phase, exit_reason):
             return False
         if phase in (AttemptPhase.EXITED, AttemptPhase.GONE):
             attempt.terminated_at = self.now
+            self.ended_attempts.add(attempt.machine, wire.task_name(*attempt.key), attempt.number, proof)
             self.scheduling_triggers += 1
             self.terminal_attempts[attempt.allocation][attempt.index] = attempt
             if phase is AttemptPhase.GONE or exit_reason != wire.REASON_DONE:
--- a/spurarch/coordination/partition/statuses.py
+++ b/spurarch/coordination/partition/statuses.py
@@ -7,6 +7,7 @@
 
 import logging
 
+from spurarch.coordination.partition.ended_attempts import EndProof
 from spurarch.coordination.partition.failures import FailureAttribution
 from spurarch.coordination.partition.machine import AttemptPhase, Machine, MachineState, reported_phase
 from spurarch.coordination.partition.state import PartitionContext, PartitionState
@@ -29,7 +30,7 @@
         context: PartitionContext,
     ) -> None:
         self._state, self._stops, self._failures = state, stops, failures
-        self._image_of = context.image_of
+        self._image_of, self._violations = context.image_of, context.violations
         self._logged_states: set[str] = set()
 
     def apply(self, machine: Machine, heartbeat: wire.Heartbeat, now: float) -> None:
@@ -74,7 +75,7 @@
         """Marks the attempts of earlier incarnations as gone: a restarted worker runs none of them."""
         for attempt in list(machine.attempts.values()):
             if attempt.incarnation < incarnation:
-                self._state.transition(attempt, AttemptPhase.GONE)
+                self._state.mark_gone(attempt, EndProof.INCARNATION_ENDED)
         machine.exits_to_forget.clear()
         machine.fence_below_token = 0  # workers reject commands to an earlier incarnation
         machine.unconfirmed_cancellation_at = None
@@ -83,12 +84,15 @@
         key = wire.split_task(task.task)
         attempt = machine.attempts.get(key) if key else None
         if attempt is None or attempt.number != task.attempt:
+            self._check_not_ended(machine, task)
             return
         phase = reported_phase(task)
         if phase is None:
             self._log_unknown_state(task.state)
             return
-        if self._state.transition(attempt, phase, task.exit_reason):
+        if attempt.phase >= AttemptPhase.EXITED:
+            self._check_not_ended(machine, task)
+        elif self._state.transition(attempt, phase, task.exit_reason):
             if phase is AttemptPhase.RUNNING:
                 attempt.running_at = now
             if phase in (AttemptPhase.GATHERING, AttemptPhase.RUNNING):
@@ -98,6 +102,21 @@
             if phase is AttemptPhase.EXITED:
                 self._failures.record_exit(machine, attempt, now)
 
+    def _check_not_ended(self, machine: Machine, task: wire.TaskStatus) -> None:
+        """Records a violation if the worker runs an attempt that had ended; once for each attempt.
+
+        Only messages that are newer than the proof of the end are applied, so the worker has started it again.
+        """
+        if task.state == wire.EXITED:
+            return
+        ended = self._state.ended_attempts.remove(machine.name, task.task, task.attempt)
+        if ended is not None:
+            forgotten_by = ended.forgotten_by.value if ended.forgotten_by is not None else "none"
+            self._violations.record(
+                f"ended attempt runs again task={task.task} attempt={task.attempt} machine={machine.name} "
+                f"proof={ended.proof.value} forgotten_by={forgotten_by}"
+            )
+
     def _log_unknown_state(self, task_state: str) -> None:
         """Logs an unknown task state, which is otherwise ignored: workers can be newer than controllers."""
         if task_state not in self._logged_states and len(self._logged_states) < MAX_LOGGED_STATES:
