Let a worker forget an attempt only when no start command can still arrive

What callers saw: `ran_twice`.

Cause: `forget` was sent once no direct command was unanswered. A heartbeat response that carries the start command of the same attempt can be on its way for up to 4 s, and direct commands overtake it: the attempt is started, stopped and forgotten by direct commands, and then the response starts it again, as the worker no longer knows it.

Change: `Machine.starts_settled` asks for both: no direct command can take effect late, and the newest heartbeat response carried no start. Every place that forgets an attempt or concludes its absence asks it. A worker has a single heartbeat in flight, so its next heartbeat proves that it has executed or dropped the response. No measure of time is needed, and `forget` is late by one heartbeat at most. Starts and stops are sent directly as before.

--- a/spurarch/coordination/partition/commands.py
+++ b/spurarch/coordination/partition/commands.py
@@ -34,8 +34,7 @@
         """
         out: list[wire.Command] = []
         path = CommandPath.DIRECT if heartbeat is None else CommandPath.HEARTBEAT_RESPONSE
-        if machine.late_commands_fenced:
-            # Without this check, a start command that arrives late would run a forgotten attempt again.
+        if machine.starts_settled:
             forget = machine.exits_to_forget
             if self._context.coverage is not None:
                 forget = self._forgettable_exits(machine, self._context.coverage)
@@ -146,7 +145,7 @@
                 listed[key] = task.attempt
             elif task.state != wire.EXITED:
                 out.append(wire.Command(wire.STOP, task.task, task.attempt, 0.0))
-            elif machine.late_commands_fenced:
+            elif machine.starts_settled:
                 out.append(self._forget(machine, task.task, task.attempt, CommandPath.HEARTBEAT_RESPONSE))
         machine.exits_to_forget = listed
         return out
--- a/spurarch/coordination/partition/heartbeats.py
+++ b/spurarch/coordination/partition/heartbeats.py
@@ -63,6 +63,7 @@
             return None
         if machine.has_applied(heartbeat):
             return []  # a duplicate or older heartbeat, but the worker possibly still waits for a response
+        machine.start_in_response = False  # the worker sends no heartbeat while it still waits for a response
         self._statuses.apply(machine, heartbeat, now)
         self._probe_acknowledgement(machine, now)
         if not may_command or machine.state is not MachineState.ACTIVE:
@@ -72,6 +73,7 @@
         self._mark_absent_as_gone(machine, heartbeat)
         self._stops.stop_gang_members()
         commands = self._commands.plan(machine, heartbeat)
+        machine.start_in_response = any(command.op == wire.START for command in commands)
         for attempt in machine.attempts.values():
             if attempt.phase is AttemptPhase.STARTING:
                 attempt.start_sent_seq = heartbeat.seq
@@ -135,7 +137,7 @@
     def _mark_absent_as_gone(self, machine: Machine, heartbeat: wire.Heartbeat) -> None:
         """Marks tasks to be stopped as gone if the worker does not list them and no start command can still arrive."""
         stopping = [attempt for attempt in machine.attempts.values() if attempt.stop_requested]
-        if not stopping or not machine.late_commands_fenced:
+        if not stopping or not machine.starts_settled:
             return
         listed = {wire.split_task(task.task) for task in heartbeat.tasks}
         for attempt in stopping:
--- a/spurarch/coordination/partition/machine.py
+++ b/spurarch/coordination/partition/machine.py
@@ -156,6 +156,9 @@
             has acknowledged a token at least as high.
         highest_token_seen: The highest fencing token that its messages have carried.
         commands_in_flight: Requests with direct commands that have no response yet.
+        start_in_response: The newest heartbeat response carries a start command. The worker has a single heartbeat in
+            flight, so only its next heartbeat shows that the response was executed or dropped; until then, direct
+            commands can overtake the response.
         last_heartbeat_at: When its newest message was received.
         termination_notice_until: When the cloud terminates the machine; None without a termination notice.
         exits_to_forget: Attempt numbers of exited tasks that the worker need not list any more, by task.
@@ -194,6 +197,7 @@
     fence_below_token: int = 0
     highest_token_seen: int = 0
     commands_in_flight: int = 0
+    start_in_response: bool = False
     last_heartbeat_at: float | None = None
     termination_notice_until: float | None = None
     attempts: dict[TaskKey, TaskAttempt] = field(default_factory=dict)
@@ -251,6 +255,14 @@
         """Whether no direct command that got no response can still take effect."""
         return self.commands_in_flight == 0 and self.highest_token_seen >= self.fence_below_token
 
+    @property
+    def starts_settled(self) -> bool:
+        """Whether no start command that was sent can still take effect: neither a direct one, nor one in a response.
+
+        The worker may forget an attempt only then, since a start command that arrives later would run it again.
+        """
+        return self.late_commands_fenced and not self.start_in_response
+
     def is_schedulable(self, now: float) -> bool:
         """Whether it may be assigned new tasks.
 
--- a/spurarch/coordination/partition/statuses.py
+++ b/spurarch/coordination/partition/statuses.py
@@ -77,7 +77,8 @@
             if attempt.incarnation < incarnation:
                 self._state.mark_gone(attempt, EndProof.INCARNATION_ENDED)
         machine.exits_to_forget.clear()
-        machine.fence_below_token = 0  # workers reject commands to an earlier incarnation
+        # Workers reject commands to an earlier incarnation, and drop responses to its heartbeats.
+        machine.fence_below_token, machine.start_in_response = 0, False
         machine.unconfirmed_cancellation_at = None
 
     def _apply_task(self, machine: Machine, task: wire.TaskStatus, now: float) -> None:
--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -47,9 +47,10 @@
         # By address: function from client host to its server.
         self.handlers_by_client: dict[str, Callable[[str], Handler]] = {}
         self.slow_until, self.slow_s = 0.0, 0.0
+        self.slow_responses: dict[str, tuple[float, float]] = {}  # by client host: until when, and seconds of delay
 
     def latency_s(self) -> float:
-        """Returns the present mean latency of a request, in seconds; the response takes no further time."""
+        """Returns the present mean latency of a request, in seconds; see `slow_responses` for that of a response."""
         return self.slow_s if self.clock.now < self.slow_until else LATENCY_S
 
     def active_fault(self, a: str, b: str) -> LinkFault | None:
@@ -89,8 +90,18 @@
         if self.active_fault(source, target) is not None:
             await curio.sleep(max(0.0, end - self.clock.now))
             raise NoAnswerError("cut", True)
+        await self._delay_response(source, end)
         return response
 
+    async def _delay_response(self, host: str, end: float) -> None:
+        """Delays a response to a host as long as `slow_responses` says; raises NoAnswerError if that is after `end`."""
+        until, delay_s = self.slow_responses.get(host, (0.0, 0.0))
+        if self.clock.now >= until:
+            return
+        await curio.sleep(min(delay_s, max(0.0, end - self.clock.now)))
+        if self.clock.now >= end:
+            raise NoAnswerError("timed out", True)
+
     def handler(self, source: str, address: str) -> Handler | None:
         """Returns the server at an address for a client host, or None; most servers are the same for all hosts."""
         handler_for = self.handlers_by_client.get(address)
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -45,6 +45,7 @@
     deafen MACHINE for=                      responses and direct commands to the machine are dropped; its heartbeats
                                              still arrive
     slow-links for= by=                      every link has this latency
+    slow-responses HOST for= by=             responses to requests of the host arrive `by` seconds later, in order
     copies MACHINE [since=N] [gap=] [node=NODE]   copies of its heartbeats, from index N on, arrive in order, `gap`
                                              seconds apart, at their original receivers or at NODE
     late-reports for= share=                 of this share of heartbeats, a copy arrives from 2 s to 2 s and 1.5 leases
@@ -319,6 +320,8 @@
                 self.problems.append(f"carried out a second time: {again}")
         elif action == "slow-links":
             self.links.slow_until, self.links.slow_s = now + float(opts["for"]), float(opts["by"])
+        elif action == "slow-responses":
+            self.links.slow_responses[args[0]] = now + float(opts["for"]), float(opts["by"])
         elif action == "kill-leader":
             leader = next((n for n in self.running if self.controllers[n].membership.leading), None)
             if leader is None:
--- a/tests/test_late_commands.py
+++ b/tests/test_late_commands.py
@@ -1,12 +1,20 @@
-"""Messages between a partition owner and its workers that are late: they change nothing that is known better."""
+"""Messages between a partition owner and its workers that are late: no ended attempt runs again by them."""
 
 from __future__ import annotations
 
+import os
+from random import Random
+
+import pytest
+
 from spurarch.coordination.partition.machine import MachineState
 from spurarch.protocol import wire
 from tests.sim.command_exchange import LEASE_S, CommandExchange
+from tests.sim.command_walk import TASKS, WORKERS, Walk
 
-WORKERS, TASKS = 2, 1
+WALKS, STEPS = 2000, 60
+PARTS = 4  # which run side by side
+MORE = int(os.environ.get("SPURARCH_MEETINGS", "0"))  # new walks instead of the fixed ones
 
 
 def test_a_late_response_to_direct_commands_does_not_reactivate_a_machine_whose_lease_has_expired() -> None:
@@ -38,3 +46,41 @@
         "ended attempt runs again task=job-1/0 attempt=1 machine=vm-0 proof=exit-reported "
         "forgotten_by=heartbeat-response"
     ]
+
+
+def test_a_late_heartbeat_response_starts_no_attempt_that_direct_commands_made_its_worker_forget() -> None:
+    """Guards against `ran_twice`: direct commands overtake a heartbeat response that carries the attempt's start."""
+    world = CommandExchange(WORKERS, TASKS)
+    slow, other = world.workers
+    world.assign(0, slow)
+    world.send_heartbeat(slow)
+    world.deliver_heartbeat(slow)
+    assert slow.heartbeat is not None
+    assert slow.heartbeat.response is not None
+    assert [command.op for command in slow.heartbeat.response.commands] == [wire.START]
+    world.exchange_direct(slow)
+    world.request_stop(0)
+    world.exchange_direct(slow)
+    world.record_ends()
+    world.assign(0, other)
+    world.exchange_direct(other)
+    world.exchange_direct(slow)
+    world.deliver_response(slow)
+    assert world.ran_twice == []
+    assert slow.tasks == {("job-1/0", 1): wire.EXITED}
+    assert other.tasks == {("job-1/0", 2): wire.RUNNING}
+    world.exchange_heartbeat(slow)
+    assert slow.tasks == {}
+
+
+def first_seed(part: int) -> int:
+    """Returns the first seed of a part: a fixed one, or a new one if more walks are requested."""
+    return Random().getrandbits(48) if MORE else part * WALKS
+
+
+@pytest.mark.parametrize("part", range(PARTS))
+def test_no_ended_attempt_runs_again_whatever_is_delayed_or_lost(part: int) -> None:
+    start = first_seed(part)
+    for seed in range(start, start + (MORE or WALKS) // PARTS):
+        walk = Walk(seed)
+        assert walk.run(STEPS) == [], (seed, walk.taken)
