Send no command to a heartbeat that could not be applied

What callers could see: `ran_twice`, after a worker restarts in a new incarnation without the token that it had seen.

Cause: such a heartbeat is not applied, since its token was not issued by this owner. The machine still counts as active in the earlier incarnation, so the response was planned for that: it could carry start commands of attempts of the earlier incarnation. The worker starts them in the new one. Its next heartbeat carries the token, and the owner takes all attempts of the earlier incarnation for gone and places them elsewhere, while they run.

Change: the response to a heartbeat that was not applied carries the token and no commands. The next one gets them.

--- a/spurarch/coordination/partition/heartbeats.py
+++ b/spurarch/coordination/partition/heartbeats.py
@@ -68,6 +68,8 @@
         self._probe_acknowledgement(machine, now)
         if not may_command or machine.state is not MachineState.ACTIVE:
             return []
+        if not machine.has_applied(heartbeat):
+            return []  # a new incarnation without a token of this owner, to which no attempt is assigned
         if not state.records_read:
             return self._commands.stops_for_cancelled(heartbeat)
         self._mark_absent_as_gone(machine, heartbeat)
--- a/tests/test_late_commands.py
+++ b/tests/test_late_commands.py
@@ -73,6 +73,21 @@
     assert slow.tasks == {}
 
 
+def test_a_worker_that_restarts_without_its_token_is_not_told_to_start_attempts_of_its_earlier_incarnation() -> None:
+    """Guards against `ran_twice`: the attempt would start in an incarnation in which its owner takes it for gone."""
+    world = CommandExchange(WORKERS, TASKS)
+    restarted, _ = world.workers
+    world.assign(0, restarted)
+    world.restart(restarted, keeps_token=False)
+    world.exchange_heartbeat(restarted)
+    assert restarted.tasks == {}
+    world.exchange_heartbeat(restarted)
+    assert world.record_ends()
+    assert world.assign(0, restarted)
+    world.exchange_direct(restarted)
+    assert restarted.tasks == {("job-1/0", 2): wire.RUNNING}
+
+
 def first_seed(part: int) -> int:
     """Returns the first seed of a part: a fixed one, or a new one if more walks are requested."""
     return Random().getrandbits(48) if MORE else part * WALKS
