--- a/tests/sim/soak.py
+++ b/tests/sim/soak.py
@@ -192,6 +192,8 @@
                     self.world.workers[name].hang_until = until
             case "deaf":
                 self.links.responses_lost_until |= dict.fromkeys(affected, until)
+            case "late-responses":
+                self.links.responses_late_until |= dict.fromkeys(affected, until)
             case "mute":
                 self.links.heartbeats_lost_until |= dict.fromkeys(affected, until)
             case "machine-dies":
--- a/tests/sim/soak_world.py
+++ b/tests/sim/soak_world.py
@@ -14,6 +14,7 @@
 
 LATE_SHARE = 0.4  # of direct commands
 LATE_COMMAND_S = (2.0, 8.0)  # shortest and longest delay
+LATE_RESPONSE_S = (1.0, 3.8)  # shortest and longest delay; a worker drops a response after 4 s
 
 
 class FaultyLinks(LoopbackLinks):
@@ -23,20 +24,31 @@
         super().__init__()
         self._random = random
         self.responses_lost_until: dict[str, float] = {}  # by machine
+        self.responses_late_until: dict[str, float] = {}  # by machine
         self.heartbeats_lost_until: dict[str, float] = {}  # by machine
         self.late_commands_until = 0.0
 
     async def request(self, source: str, address: str, request: Request, timeout_s: float) -> Response:
         """Sends a request of a worker; raises NoAnswerError if it or its response is lost."""
-        if time.monotonic() < self.heartbeats_lost_until.get(source, 0.0):
+        sent_at = time.monotonic()
+        if sent_at < self.heartbeats_lost_until.get(source, 0.0):
             await curio.sleep(timeout_s)
             raise NoAnswerError("mute", False)
         response = await super().request(source, address, request, timeout_s)
         if time.monotonic() < self.responses_lost_until.get(source, 0.0):
             await curio.sleep(timeout_s)
             raise NoAnswerError("deaf", True)
+        if time.monotonic() < self.responses_late_until.get(source, 0.0):
+            await self._delay_response(sent_at + timeout_s)
         return response
 
+    async def _delay_response(self, end: float) -> None:
+        """Delays a response that is on its way; raises NoAnswerError if it would arrive after `end`."""
+        delay_s = self._random.uniform(*LATE_RESPONSE_S)
+        await curio.sleep(min(delay_s, max(0.0, end - time.monotonic())))
+        if time.monotonic() >= end:
+            raise NoAnswerError("timed out", True)
+
     def _handler_at(self, address: str) -> Handler:
         inner = super()._handler_at(address)
 
--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -57,6 +57,7 @@
     st.builds("late-writes for={} share={}".format, spans, st.sampled_from([0.2, 0.6])),
     st.builds("late-reports for={} share=0.4".format, spans),
     st.builds("cancel-at-end for={}".format, spans),
+    st.builds("slow-responses {} for={} by={}".format, machines, spans, st.sampled_from([1.0, 2.5, 3.8])),
 )
 moments = st.integers(80, 400).map(lambda tenths: tenths / 10)
 timed = st.builds("at {} {}".format, moments, faults)
