Define the clock rate bound and the key of a task once; shorten the handling of a heartbeat

`MAX_CLOCK_RATE_RATIO` was defined in three modules and `TaskKey` in two; they are in `protocol/wire.py` (a bound of the published protocol) and `storage/records.py` now. `SILENT_HEARTBEATS` of `silent_machines` had the name of another limit with the same value and is `WITH_TASKS_HEARTBEATS`, beside `WITHOUT_TASKS_LEASES`. No behaviour changes.

--- a/spurarch/coordination/membership/store_reachability.py
+++ b/spurarch/coordination/membership/store_reachability.py
@@ -30,9 +30,8 @@
 
 from msgspec import Struct
 
-from spurarch.protocol import peer_messages
+from spurarch.protocol import peer_messages, wire
 
-MAX_CLOCK_RATE_RATIO = 1.001  # maximum ratio between the rates of two clocks
 MARGIN_S, MARGIN_SHARE = 1.0, 0.05  # safety margin: a constant, plus a share of `cancel_s`
 RESPONSE_VALID_S = 4.0  # for which a peer counts as responding after a pong
 NEVER = float("-inf")
@@ -67,7 +66,7 @@
 
     def __init__(self, peers: list[str], cancel_s: float, lease_s: float) -> None:
         margin_s = MARGIN_S + MARGIN_SHARE * cancel_s
-        self.freshness_limit_s = (cancel_s - lease_s) / MAX_CLOCK_RATE_RATIO - margin_s
+        self.freshness_limit_s = (cancel_s - lease_s) / wire.MAX_CLOCK_RATE_RATIO - margin_s
         self._attested_at = dict.fromkeys(peers, NEVER)  # by peer: sending time of the latest ping that it attested to
         self._peer_copy_complete_at = NEVER  # newest time for which a pong listed all earlier cancellations
         self._last_responses: dict[str, _PeerResponse] = {}  # by peer
@@ -98,9 +97,9 @@
             self.peer_reached_store_at = max(self.peer_reached_store_at, sent_at)
             self._peer_copy_complete_at = max(self._peer_copy_complete_at, sent_at)
         elif pong.copy_age_s >= 0:
-            copied_at = sent_at - pong.copy_age_s * MAX_CLOCK_RATE_RATIO
+            copied_at = sent_at - pong.copy_age_s * wire.MAX_CLOCK_RATE_RATIO
             self._peer_copy_complete_at = max(self._peer_copy_complete_at, copied_at)
-        elif received_at - pong.uptime_s / MAX_CLOCK_RATE_RATIO > bound_before:
+        elif received_at - pong.uptime_s / wire.MAX_CLOCK_RATE_RATIO > bound_before:
             return  # an earlier process of the peer can have confirmed a cancellation that no other controller received
         if peer in self._attested_at:
             self._attested_at[peer] = max(self._attested_at[peer], sent_at)
--- a/spurarch/coordination/partition/commands.py
+++ b/spurarch/coordination/partition/commands.py
@@ -5,9 +5,10 @@
 import logging
 
 from spurarch.coordination.partition.ended_attempts import CommandPath
-from spurarch.coordination.partition.machine import AttemptPhase, Machine, MachineState, TaskAttempt, TaskKey
+from spurarch.coordination.partition.machine import AttemptPhase, Machine, MachineState, TaskAttempt
 from spurarch.coordination.partition.state import ArchiveCoverage, PartitionContext, PartitionState
 from spurarch.protocol import wire
+from spurarch.storage.records import TaskKey
 
 log = logging.getLogger(__name__)
 
--- a/spurarch/coordination/partition/heartbeats.py
+++ b/spurarch/coordination/partition/heartbeats.py
@@ -72,6 +72,10 @@
             return []  # a new incarnation without a token of this owner, to which no attempt is assigned
         if not state.records_read:
             return self._commands.stops_for_cancelled(heartbeat)
+        return self._plan_commands(machine, heartbeat)
+
+    def _plan_commands(self, machine: Machine, heartbeat: wire.Heartbeat) -> list[wire.Command]:
+        """Returns the commands for the response to a heartbeat that was applied."""
         self._mark_absent_as_gone(machine, heartbeat)
         self._stops.stop_gang_members()
         commands = self._commands.plan(machine, heartbeat)
--- a/spurarch/coordination/partition/machine.py
+++ b/spurarch/coordination/partition/machine.py
@@ -17,13 +17,10 @@
 from dataclasses import dataclass, field
 
 from spurarch.protocol import wire
-from spurarch.storage.records import AllocationKey
+from spurarch.storage.records import AllocationKey, TaskKey
 
-MAX_CLOCK_RATE_RATIO = 1.001  # maximum ratio of the clock rates of a worker and its partition owner
 LEASE_MARGIN_S = 0.5
 
-TaskKey = tuple[str, int]  # job and index; a plain tuple, as each heartbeat creates and compares one per task
-
 
 class AttemptPhase(enum.IntEnum):
     """Progress of an attempt on its machine."""
@@ -291,7 +288,7 @@
         return (
             self.state is MachineState.ACTIVE
             and self.last_heartbeat_at is not None
-            and now - self.last_heartbeat_at > lease_s * MAX_CLOCK_RATE_RATIO + LEASE_MARGIN_S
+            and now - self.last_heartbeat_at > lease_s * wire.MAX_CLOCK_RATE_RATIO + LEASE_MARGIN_S
         )
 
 
--- a/spurarch/coordination/partition/state.py
+++ b/spurarch/coordination/partition/state.py
@@ -15,10 +15,10 @@
 
 from spurarch.coordination.partition.ended_attempts import EndedAttempts, EndProof
 from spurarch.coordination.partition.gang import Gangs
-from spurarch.coordination.partition.machine import AttemptPhase, Machine, TaskAttempt, TaskKey
+from spurarch.coordination.partition.machine import AttemptPhase, Machine, TaskAttempt
 from spurarch.coordination.runtime.invariants import InvariantViolations
 from spurarch.protocol import wire
-from spurarch.storage.records import AllocationKey, TaskEntry
+from spurarch.storage.records import AllocationKey, TaskEntry, TaskKey
 
 TOKEN_BITS = 36  # low bits of a fencing token, which hold a counter; the higher bits hold the epoch
 MAX_RELEASED_MACHINES = 20_000  # machine names; several times the number of machines in a fleet
--- a/spurarch/coordination/scaling/silent_machines.py
+++ b/spurarch/coordination/scaling/silent_machines.py
@@ -17,7 +17,7 @@
 UNCONFIRMED_LEASES = 1.5
 EXPIRED_LEASES = 3.0
 WITHOUT_TASKS_LEASES = 2
-SILENT_HEARTBEATS = 2.5
+WITH_TASKS_HEARTBEATS = 2.5
 
 
 class SilenceObservation(Struct, frozen=True):
@@ -60,7 +60,7 @@
             # Not urgent: once the lease has expired, the tasks can be started elsewhere, and if an unreachable zone
             # becomes reachable again, its machines can be used again.
             lease_expired_s=EXPIRED_LEASES * workers.lease_s,
-            with_tasks_s=max(tuning.silent_release_s, SILENT_HEARTBEATS * workers.heartbeat_interval_s),
+            with_tasks_s=max(tuning.silent_release_s, WITH_TASKS_HEARTBEATS * workers.heartbeat_interval_s),
             without_tasks_s=workers.lease_s * WITHOUT_TASKS_LEASES,
         )
 
--- a/spurarch/coordination/scheduling/guarantee_preemption.py
+++ b/spurarch/coordination/scheduling/guarantee_preemption.py
@@ -5,8 +5,8 @@
 from spurarch.coordination.fleet.job_view import JobView
 from spurarch.coordination.partition.machine import TaskAttempt
 from spurarch.coordination.scheduling.placement_round import PlacementRound
-from spurarch.coordination.scheduling.placement_state import TaskKey
 from spurarch.coordination.scheduling.preemption import PREEMPTION_RESERVATION_S, Preemption
+from spurarch.storage.records import TaskKey
 
 
 class GuaranteePreemption:
--- a/spurarch/coordination/scheduling/moved_replicas.py
+++ b/spurarch/coordination/scheduling/moved_replicas.py
@@ -8,7 +8,7 @@
 from spurarch.coordination.fleet.capacity import MachineCapacity, Requirements
 from spurarch.coordination.fleet.job_view import JobView
 from spurarch.coordination.scheduling.placement_round import PlacementRound
-from spurarch.coordination.scheduling.placement_state import TaskKey
+from spurarch.storage.records import TaskKey
 
 
 class MovedReplicas:
--- a/spurarch/coordination/scheduling/placement.py
+++ b/spurarch/coordination/scheduling/placement.py
@@ -20,13 +20,13 @@
     PlacementRound,
     PlacementSettings,
 )
-from spurarch.coordination.scheduling.placement_state import MoveTarget, PlacementState, TaskKey
+from spurarch.coordination.scheduling.placement_state import MoveTarget, PlacementState
 from spurarch.coordination.scheduling.preemption import Preemption
 from spurarch.coordination.scheduling.priority_preemption import PriorityPreemption
 from spurarch.coordination.scheduling.service_placement import ServicePlacement
 from spurarch.coordination.scheduling.task_return import ReturnPolicy
 from spurarch.storage import records
-from spurarch.storage.records import AllocationKey
+from spurarch.storage.records import AllocationKey, TaskKey
 
 PlaceAllocation = Callable[[AllocationKey, JobView], None]
 
--- a/spurarch/coordination/scheduling/placement_round.py
+++ b/spurarch/coordination/scheduling/placement_round.py
@@ -9,10 +9,10 @@
 from spurarch.coordination.fleet.job_view import JobView
 from spurarch.coordination.partition.machine import TaskAttempt
 from spurarch.coordination.partition.partition import Partition
-from spurarch.coordination.scheduling.placement_state import PlacementState, TaskKey
+from spurarch.coordination.scheduling.placement_state import PlacementState
 from spurarch.coordination.scheduling.round_capacities import RoundCapacities
 from spurarch.storage import records
-from spurarch.storage.records import AllocationKey, TaskEntry
+from spurarch.storage.records import AllocationKey, TaskEntry, TaskKey
 
 AllocationEntries = dict[AllocationKey, dict[int, TaskEntry]]  # entries by index of the task
 
--- a/spurarch/coordination/scheduling/placement_state.py
+++ b/spurarch/coordination/scheduling/placement_state.py
@@ -5,9 +5,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
-from spurarch.storage.records import AllocationKey
-
-TaskKey = tuple[str, int]  # job and index of the task
+from spurarch.storage.records import AllocationKey, TaskKey
 
 
 @dataclass(slots=True, frozen=True)
--- a/spurarch/coordination/scheduling/preemption.py
+++ b/spurarch/coordination/scheduling/preemption.py
@@ -5,7 +5,8 @@
 from spurarch.coordination.fleet.capacity import MachineCapacity, Requirements, TentativeBookings
 from spurarch.coordination.partition.machine import AttemptPhase, TaskAttempt
 from spurarch.coordination.scheduling.placement_round import PlacementRound
-from spurarch.coordination.scheduling.placement_state import Claim, TaskKey
+from spurarch.coordination.scheduling.placement_state import Claim
+from spurarch.storage.records import TaskKey
 
 PREEMPTION_RESERVATION_S = 8.0  # how long preempted capacity is reserved for the task or gang that preempted
 
--- a/spurarch/coordination/scheduling/priority_preemption.py
+++ b/spurarch/coordination/scheduling/priority_preemption.py
@@ -6,8 +6,8 @@
 from spurarch.coordination.fleet.job_view import JobView
 from spurarch.coordination.partition.machine import TaskAttempt
 from spurarch.coordination.scheduling.placement_round import PlacementRound
-from spurarch.coordination.scheduling.placement_state import TaskKey
 from spurarch.coordination.scheduling.preemption import PREEMPTION_RESERVATION_S, Preemption
+from spurarch.storage.records import TaskKey
 
 HIGHEST_PRIORITY = 0
 
--- a/spurarch/coordination/scheduling/service_placement.py
+++ b/spurarch/coordination/scheduling/service_placement.py
@@ -7,10 +7,9 @@
 from spurarch.coordination.scheduling.best_fit import best_fit
 from spurarch.coordination.scheduling.moved_replicas import MovedReplicas
 from spurarch.coordination.scheduling.placement_round import PlacementRound
-from spurarch.coordination.scheduling.placement_state import TaskKey
 from spurarch.coordination.scheduling.priority_preemption import PriorityPreemption
 from spurarch.coordination.scheduling.task_return import ReturnPolicy
-from spurarch.storage.records import AllocationKey, TaskEntry
+from spurarch.storage.records import AllocationKey, TaskEntry, TaskKey
 
 IMAGE_RESERVATION_S = 1.5  # how long a replica waits for preempted capacity on a machine that has its image
 
--- a/spurarch/protocol/wire.py
+++ b/spurarch/protocol/wire.py
@@ -47,6 +47,8 @@
 REASON_PEER_LOST, REASON_GANG_INCOMPLETE = "peers", "incomplete"
 REASON_NO_CAPACITY, REASON_TASK_PRESENT, REASON_UNKNOWN_TASK = "full", "in_use", "no_such"
 
+MAX_CLOCK_RATE_RATIO = 1.001  # of the monotonic clocks of two machines, which drift apart by at most 0.05%
+
 # Commands to workers
 START, STOP, FORGET = "run", "halt", "forget"
 # States of machines in the cloud's list
--- a/spurarch/recovery/worker_survey.py
+++ b/spurarch/recovery/worker_survey.py
@@ -28,7 +28,7 @@
 # no unverified gap reaches into the new history, where a higher revision would hide the loss.
 MIN_SEALED_S = MARKER_VALID_S + 1.0
 HEARTBEAT_INTERVALS_WAITED = 3.0  # if every controller gave its copy; more heartbeats then only add details
-MAX_CLOCK_RATE_RATIO, TIMEOUT_MARGIN_S = 1.001, 1.0
+TIMEOUT_MARGIN_S = 1.0
 
 
 class WorkerSurvey:
@@ -80,7 +80,7 @@
         workers = self._context.deployment.workers
         if has_all_copies:
             return MIN_SEALED_S + HEARTBEAT_INTERVALS_WAITED * workers.heartbeat_interval_s
-        return workers.cancel_s * MAX_CLOCK_RATE_RATIO + TIMEOUT_MARGIN_S
+        return workers.cancel_s * wire.MAX_CLOCK_RATE_RATIO + TIMEOUT_MARGIN_S
 
     def _refuse_later_epoch(self, copies: GatheredCopies) -> None:
         collector, epoch = self._context.collector, highest_epoch(copies.sources)
--- a/spurarch/storage/records.py
+++ b/spurarch/storage/records.py
@@ -66,6 +66,9 @@
     chunks: int = 0
 
 
+TaskKey = tuple[str, int]  # job and index; a plain tuple, as each heartbeat creates and compares one per task
+
+
 class TaskEntry(Struct, array_like=True):
     """One admitted task: `attempt` counts its starts, `incarnation` identifies the process of the machine's worker."""
 
