Tests: a function for each action of a scenario

Each action is a function of tests/sim/scenario_actions.py now, found by name in a table; the module also has the description of the actions. What the actions call on a run is public now. No scenario and no check changes.

--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -3,7 +3,7 @@
 Kinds of lines (`#` begins a comment; see scenario_text.py for the syntax):
 
     SETUP-WORD ...             applies before the start
-    at SECONDS ACTION ...      happens at that time
+    at SECONDS ACTION ...      happens at that time, see scenario_actions.py
     expect EXPECTATION ...     is checked at the end, see scenario_checks.py
     end SECONDS                ends the scenario (default: 60)
     vary NAME VALUE...         runs the scenario once for each value; `{NAME}` and `{NAME+0.2}` stand for it
@@ -20,57 +20,6 @@
     page-items N                                        most items in one response of the state service
     earlier NODE...                                     controllers that run the version before gangs
     tuning NAME=VALUE...                                operators' settings, with underscores for hyphens
-
-Actions; `for=` and `by=` are in seconds, NODE is a controller, HOST is a controller, a machine, `store` or `cloud`:
-
-    submit JOB [NAME=VALUE...] [node=NODE]   a user submits a job until it is accepted or refused, then polls its state;
-                                             names: team, kind (batch, daemon, gang), priority, tasks, cpus, memory,
-                                             image, fetch (GB, at 1 GB/s), type, zone, estimate, checkpoint, save, run
-                                             (seconds, of the tasks in turn), and the flags together, spread, spot,
-                                             faulty; a flag without a value is ignored: `spread=1`, not `spread`
-    cancel JOB [node=NODE]                   a user requests a cancellation until it is confirmed
-    cancel-at-end for=                       jobs whose last task ends during this time are cancelled at that moment
-    again JOB STATUS [node=NODE]             a user repeats a submission; STATUS, 503 or 504 is expected
-    raw METHOD TARGET STATUS [BODY]          a user sends one request; STATUS is expected
-    kill NODE [for=]                         the controller's process is killed, and restarted after `for` if given
-    kill-all [for=], kill-leader [for=]      the same for all controllers, or for the leader
-    upgrade NODE [for=]                      killed, and restarted with the present version
-    downgrade NODE [for=]                    killed, and restarted with the version before gangs
-    cut A B for= [mode=]                     two hosts can't reach each other; `*` is any host; modes: see net.LinkFault
-    cut-zone ZONE for= [mode=]               cut from the machines and controllers of a zone to all other controllers
-    alone NODE for=                          cut from a controller to the state service and all other controllers;
-                                             it still reaches its workers and users
-    mute MACHINE for=                        requests of the machine, also heartbeats, are dropped; direct commands and
-                                             their responses still arrive
-    deafen MACHINE for=                      responses and direct commands to the machine are dropped; its heartbeats
-                                             still arrive
-    slow-links for= by=                      every link has this latency
-    slow-responses HOST for= by=             responses to requests of the host arrive `by` seconds later, in order
-    copies MACHINE [since=N] [gap=] [node=NODE]   copies of its heartbeats, from index N on, arrive in order, `gap`
-                                             seconds apart, at their original receivers or at NODE
-    late-reports for= share=                 of this share of heartbeats, a copy arrives from 2 s to 2 s and 1.5 leases
-                                             later
-    die MACHINE                              the machine fails for good, with all its tasks
-    hang MACHINE for=                        the machine neither executes nor responds, and then resumes
-    reboot MACHINE                           the worker restarts at once in a new incarnation, without tasks
-    sick MACHINE                             every task on the machine fails from now on
-    notice MACHINE for=                      the worker announces that its spot machine ends after that time
-    never-up N                               the next N machines that are requested never become ready
-    outage for=                              the state service refuses all requests; its leases are extended
-    refuse HOST for=                         the state service refuses all requests of one host
-    slow-store for= by=                      the state service delays all requests except watches
-    slow-writes PREFIX for= by=              transactions that write a key with this prefix are delayed, and carried out
-                                             even if the sender times out
-    slow-pages HOST by=                      the state service delays a host's reads of lists of keys, to the end
-    too-old HOST for=                        a host's watches get no response for that time, and then status 410
-    no-watch HOST for=                       a host's watches get status 429
-    late-writes for= share=                  this share of transactions gets no response and is carried out 2 to 12 s
-                                             later, after newer ones
-    lose-answers for=                        the state service carries out requests, but its responses are lost
-    repeat-all                               all transactions so far are carried out again; it is a problem if the
-                                             conditions of one hold, unless it writes nothing but machine records
-    lower-limits                             the limits of `next-limits` take effect
-    sure [not] CONDITION ...                 it is a problem if the condition does not hold now, see scenario_checks.py
 """
 
 from __future__ import annotations
@@ -97,10 +46,10 @@
 )
 from spurarch.storage import records
 from spurarch.transport.http import NoAnswerError, Request
-from tests.sim import scenario_checks
+from tests.sim import scenario_actions, scenario_checks
 from tests.sim.clock import Clock
 from tests.sim.fleet import MachineType, SimCloud, World
-from tests.sim.net import LinkFault, SimLinks, SimNetwork
+from tests.sim.net import SimLinks, SimNetwork
 from tests.sim.scenario_text import Scenario, options
 from tests.sim.store import SimStateService
 
@@ -265,123 +214,15 @@
 
     async def _act(self, words: list[str]) -> None:
         action, args, opts = words[0], words[1:], options(words)
-        now = self.clock.now
-        if action not in ("submit", "cancel", "raw"):
-            self.faults_end_at = max(self.faults_end_at, now + float(opts.get("for", 0.0)))
-        if action == "submit":
-            await curio.spawn(self._run_user, args[0], opts, daemon=True)
-        elif action == "cancel":
-            await curio.spawn(self._cancel, args[0], opts.get("node"), daemon=True)
-        elif action == "kill":
-            await self.kill(args[0])
-            if "for" in opts:
-                await curio.spawn(self._restart, args[0], float(opts["for"]), daemon=True)
-        elif action == "upgrade":
-            self.earlier_version_nodes.discard(args[0])
-            await self._act(["kill", *args])
-        elif action == "downgrade":
-            self.earlier_version_nodes.add(args[0])
-            await self._act(["kill", *args])
-        elif action == "lower-limits":
-            if self.next_limits is None:
-                raise ValueError("next-limits is missing")
-            announced = self.next_limits
-            assert announced.write_rps is not None
-            assert announced.value_kb is not None
-            assert announced.txn_ops is not None
-            self.store.lower_limits(announced.write_rps, announced.value_kb, announced.txn_ops)
-        elif action == "kill-all":
-            for node, _ in self.nodes:
-                await self._act(["kill", node, *args])
-        elif action == "alone":
-            for host in ["store", *(node for node, _ in self.nodes if node != args[0])]:
-                self.links.link_faults.append(LinkFault(args[0], host, now + float(opts["for"]), "drop"))
-        elif action == "cut":
-            self.links.link_faults.append(
-                LinkFault(args[0], args[1], now + float(opts["for"]), opts.get("mode", "drop"))
-            )
-        elif action == "outage":
-            self.store.outage(float(opts["for"]))
-        elif action == "refuse":
-            self.store.refused_until[args[0]] = now + float(opts["for"])
-        elif action == "slow-writes":
-            self.store.slow_writes[args[0]] = now + float(opts["for"]), float(opts["by"])
-        elif action == "slow-pages":
-            self.store.slow_pages[args[0]] = float(opts["by"])
-        elif action == "too-old":
-            self.store.too_old[args[0]] = now + float(opts["for"])
-        elif action == "no-watch":
-            self.store.no_watch[args[0]] = now + float(opts["for"])
-        elif action == "slow-store":
-            self.store.slow_until, self.store.slow_s = now + float(opts["for"]), float(opts["by"])
-        elif action == "repeat-all":  # watch_records checks machine records that are created again
-            again = self.store.repeat_all("live/machine/")
-            if again:
-                self.problems.append(f"carried out a second time: {again}")
-        elif action == "slow-links":
-            self.links.slow_until, self.links.slow_s = now + float(opts["for"]), float(opts["by"])
-        elif action == "slow-responses":
-            self.links.slow_responses[args[0]] = now + float(opts["for"]), float(opts["by"])
-        elif action == "kill-leader":
-            leader = next((n for n in self.running if self.controllers[n].membership.leading), None)
-            if leader is None:
-                self.problems.append(f"nobody leads at {now - 1000:.2f}")
-            else:
-                self.leaders_ended += 1
-                await self._act(["kill", leader, *args])
-        elif action == "late-writes":
-            self.store.late_until, self.store.late_share = now + float(opts["for"]), float(opts["share"])
-        elif action == "late-reports":
-            self.world.late_heartbeats_until = now + float(opts["for"])
-            self.world.late_heartbeats_share = float(opts["share"])
-        elif action == "mute":
-            self.links.link_faults.append(LinkFault(args[0], "*", now + float(opts["for"]), "mute"))
-        elif action == "cancel-at-end":
-            await curio.spawn(self._cancel_ended_jobs, now + float(opts["for"]), daemon=True)
-        elif action == "again":
-            await curio.spawn(self._repeat_submission, args[0], int(args[1]), opts.get("node"), daemon=True)
-        elif action == "lose-answers":
-            self.store.lose_answers_until = now + float(opts["for"])
-        elif action == "die":
-            self.world.workers[args[0]].fail()
-        elif action == "deafen":
-            self.links.link_faults.append(LinkFault(args[0], "*", now + float(opts["for"]), "deaf"))
-        elif action == "copies":
-            worker = self.world.workers[args[0]]
-            address = dict(self.nodes)[opts["node"]] if "node" in opts else None
-            since, gap = float(opts.get("since", 0)), float(opts.get("gap", 0.3))
-            await curio.spawn(worker.deliver_copies, since, gap, address, daemon=True)
-        elif action == "reboot":
-            self.world.workers[args[0]].reboot()
-        elif action == "hang":
-            self.world.workers[args[0]].hang_until = now + float(opts["for"])
-        elif action == "sick":
-            self.world.workers[args[0]].fails_tasks = True
-        elif action == "cut-zone":
-            inside = {f"n{i}" for i in range(self.count) if self.zones[i % len(self.zones)] == args[0]}
-            outside = [node for node, _ in self.nodes if node not in inside]
-            hosts = [w.name for w in self.world.workers.values() if w.zone == args[0]] + sorted(inside)
-            self.links.link_faults += [
-                LinkFault(host, node, now + float(opts["for"]), opts.get("mode", "drop"))
-                for host in hosts
-                for node in outside
-            ]
-        elif action == "notice":
-            self.world.workers[args[0]].notice_until = now + float(opts["for"])
-        elif action == "raw":
-            await curio.spawn(self._send_raw_request, args, daemon=True)
-        elif action == "never-up":
-            self.cloud.never_ready = int(args[0])
-        elif action == "sure":
-            if not self._condition_holds(args):
-                self.problems.append(f"the meeting did not take place: {' '.join(args)} at {now - 1000:.2f}")
-        else:
+        if action not in scenario_actions.BY_USERS:
+            self.faults_end_at = max(self.faults_end_at, self.clock.now + float(opts.get("for", 0.0)))
+        take = scenario_actions.ACTIONS.get(action)
+        if take is None:
             raise ValueError(f"unknown action: {words}")
+        await take(self, args, opts)
 
-    def _condition_holds(self, words: list[str]) -> bool:
-        return scenario_checks.condition_holds(self, words)
-
-    async def _restart(self, node: str, after: float) -> None:
+    async def restart(self, node: str, after: float) -> None:
+        """Starts a controller after `after` seconds, unless it runs already."""
         await curio.sleep(after)
         if node not in self.running:  # another restart may have started it meanwhile
             await self.start(node)
@@ -418,7 +259,8 @@
             self.problems.append(f"went_back: {job_id} was never cancelled")
         answers.append(state)
 
-    async def _run_user(self, job_id: str, opts: dict[str, str]) -> None:
+    async def run_user(self, job_id: str, opts: dict[str, str]) -> None:
+        """Acts as the user of one job: submits it, then polls its state and checks the answers."""
         spec = {
             "ref": job_id,
             "circuit": "c",
@@ -468,7 +310,8 @@
             elif status == 404 and self.answers_by_job.get(job_id):
                 self.problems.append(f"forgotten: {job_id} got 404")
 
-    async def _cancel(self, job_id: str, node: str | None) -> None:
+    async def cancel(self, job_id: str, node: str | None) -> None:
+        """Requests the cancellation of a job until it is confirmed."""
         self.answers_by_job[job_id + " asked"] = ["yes"]
         for _ in range(60):
             status, answer = await self._request("POST", f"/submissions/{job_id}/cancel", b"{}", node)
@@ -479,14 +322,15 @@
                 return
             await curio.sleep(1.0)
 
-    async def _cancel_ended_jobs(self, until: float) -> None:
+    async def cancel_ended_jobs(self, until: float) -> None:
+        """Cancels each job whose last task ends before `until`, at that moment."""
         self.world.ended_jobs.clear()
         while self.clock.now < until:
             await curio.sleep(0.01)
             while self.world.ended_jobs:
-                await curio.spawn(self._cancel, self.world.ended_jobs.pop(), None, daemon=True)
+                await curio.spawn(self.cancel, self.world.ended_jobs.pop(), None, daemon=True)
 
-    async def _repeat_submission(self, job_id: str, expected: int, node: str | None) -> None:
+    async def repeat_submission(self, job_id: str, expected: int, node: str | None) -> None:
         """Repeats a submission. 503 and 504 are accepted too; a state must be consistent with earlier answers."""
         status, answer = await self._request("POST", "/submissions", json.dumps(self.world.jobs[job_id]).encode(), node)
         if status == 200:
@@ -494,7 +338,7 @@
         if status not in (expected, 503, 504):
             self.problems.append(f"a repeat of {job_id} got {status} instead of {expected}")
 
-    async def _send_raw_request(self, args: list[str]) -> None:
+    async def send_raw_request(self, args: list[str]) -> None:
         """Sends one request, `METHOD TARGET STATUS [BODY]`, and checks its status."""
         body = args[3].encode() if len(args) > 3 else b""
         status, _ = await self._request(args[0], args[1], body)
