Tests: a settings file for each controller of an installation on loopback

Cause: all controllers had one file of operators' settings, and starting the next controller wrote it anew, so that n0 read it while it was empty. Now each controller has its own file, in the soak too.

--- a/tests/sim/loopback.py
+++ b/tests/sim/loopback.py
@@ -291,9 +291,12 @@
         """Returns the address at which one controller reaches another."""
         return self.peer_addresses[other]
 
-    def features(self) -> Path:
-        """Writes the operators' settings and returns the path of the file."""
-        path = self.directory / "features.sexp"
+    def features(self, index: int) -> Path:
+        """Writes the operators' settings of one controller and returns the path of the file.
+
+        Each controller has a file of its own, since the others may be reading theirs at this moment.
+        """
+        path = self.directory / f"features-{index}.sexp"
         archive = f'(archive-address "{self.archive_address}")' if self.settings.archive else ""
         path.write_text(
             f"((recovery t) {archive} (consolidation-cap 0) (imbalance-weight 0) (idle-return-s 1000) (member-ttl-s 2))"
@@ -318,7 +321,7 @@
     def start_controller(self, index: int) -> None:
         """Starts or restarts a controller."""
         config = str(self._platform(index))
-        self._spawn(f"n{index}", "serve", "--config", config, "--tuning", str(self.features()))
+        self._spawn(f"n{index}", "serve", "--config", config, "--tuning", str(self.features(index)))
 
     def start_archiver(self) -> None:
         """Starts the archiver on its directory, with the files of a previous process."""
--- a/tests/sim/soak.py
+++ b/tests/sim/soak.py
@@ -107,9 +107,9 @@
             self.relays[index, other] = Relay(self.addresses.reserve(), self.peer_addresses[other])
         return self.relays[index, other].address
 
-    def features(self) -> Path:
-        """Writes the operators' settings: the defaults, except that idle machines stay and member leases are short."""
-        path = self.directory / "features.sexp"
+    def features(self, index: int) -> Path:
+        """Writes one controller's settings: the defaults, but idle machines stay and member leases are short."""
+        path = self.directory / f"features-{index}.sexp"
         path.write_text("((idle-return-s 1000) (member-ttl-s 2))")
         return path
 
--- a/tests/test_recovery_processes.py
+++ b/tests/test_recovery_processes.py
@@ -83,6 +83,16 @@
     await wait_for_outcomes(installation, 2)
 
 
+def test_starting_a_controller_leaves_the_settings_of_the_others_alone(tmp_path: Path) -> None:
+    """A controller that read its settings while the next one's were written ended with code 2."""
+
+    async def write_settings(installation: Installation) -> None:
+        paths = [installation.features(index) for index in range(installation.settings.controllers)]
+        assert len(set(paths)) == installation.settings.controllers
+
+    run_script(Installation(LoopbackSettings(), tmp_path), write_settings)
+
+
 @pytest.mark.parametrize("story", [wiped, wiped_with_all_controllers_restarted, rolled_back])
 def test_every_job_ends_with_one_final_state_after_a_loss(story: object, tmp_path: Path) -> None:
     installation = Installation(LoopbackSettings(), tmp_path)
