Log which planned tasks an admission leaves out, and how many changes they would need

The log told only "tasks admitted count=0", so that it did not tell apart: a quota that is still charged; a plan that finds no capacity; a plan that is outdated when it is written; a transaction that conflicts; tasks that the transaction can't hold.

New: "admission shortened" (info) with admitted, left_out, changes_needed and changes_allowed; "admission plan outdated" (debug).

--- a/spurarch/coordination/admission/job_admission.py
+++ b/spurarch/coordination/admission/job_admission.py
@@ -24,6 +24,8 @@
     job: str
     tasks: int  # charged to the job's team by this admission
     writes: list[Write]
+    left_out: int = 0  # tasks of the plan that did not fit in the transaction
+    changes_needed: int = 0  # by the first tasks that did not fit, together with those before them; 0 if all fitted
 
     @property
     def max_bytes(self) -> int:
@@ -45,6 +47,8 @@
         self._allocations: list[tuple[AllocationKey, list[TaskEntry]]] = []
         self._moved_from: dict[AllocationKey, set[int]] = {}  # indices of tasks, by the allocation they leave
         self._new_tasks: set[int] = set()
+        self._planned = 0  # tasks of all grants
+        self._changes_needed = 0
 
     def _current_admission_record(self) -> AdmissionRecord | None:
         """Returns the job's admission record; None if no task of the job was admitted yet.
@@ -60,13 +64,16 @@
 
     def add(self, grant: AdmissionGrant) -> None:
         """Adds the tasks of a grant, up to the first allocation that would exceed the limit of changes."""
+        self._planned += len(grant.entries)
         moved_indices = {index for indices in grant.moved_from.values() for index in indices}
         for start in range(0, len(grant.entries), self._tasks_per_record):
             entries = grant.entries[start : start + self._tasks_per_record]
             indices = {entry.index for entry in entries}
             sources = {source for source, moved in grant.moved_from.items() if not moved.isdisjoint(indices)}
             source_changes = sum(map(self._changes_to_rewrite, sources | set(self._moved_from)))
-            if len(self._allocations) + 1 + source_changes > self._max_changes:
+            changes = len(self._allocations) + 1 + source_changes
+            if changes > self._max_changes:
+                self._changes_needed = self._changes_needed or changes + RESERVED_CHANGES
                 break
             key = AllocationKey(self._zones.name(grant.zone), self._job_id, self._next_chunk)
             self._next_chunk += 1
@@ -100,9 +107,15 @@
             and not self._moved_from
             and admitted == self._state.jobs[self._job_id].spec.tasks
         ):
-            return JobAdmission(self._job_id, tasks, writes)
+            return JobAdmission(self._job_id, tasks, writes, self._planned - tasks, self._changes_needed)
         admission_write = Write(records.ADMISSION + self._job_id, AdmissionRecord(admitted, self._next_chunk))
-        return JobAdmission(self._job_id, tasks, [admission_write, *writes, *self._source_writes()])
+        return JobAdmission(
+            self._job_id,
+            tasks,
+            [admission_write, *writes, *self._source_writes()],
+            self._planned - tasks,
+            self._changes_needed,
+        )
 
     def _changes_to_rewrite(self, source: AllocationKey) -> int:
         """Returns an upper bound of the changes that rewrite an allocation from which tasks are moved.
--- a/spurarch/coordination/admission/writer.py
+++ b/spurarch/coordination/admission/writer.py
@@ -121,6 +121,7 @@
         if not is_uncancelled_job(self._replica.state, job_id) or not self._is_still_valid(
             job_id, grants, planned_versions
         ):
+            log.debug("admission plan outdated job=%s planned=%d", job_id, sum(len(grant.entries) for grant in grants))
             return None
         return self._job_admission(job_id, grants)
 
@@ -180,6 +181,7 @@
             job = self._view.jobs[admission.job]
             reservation = ledger.reserve(admission.job, job.team, job.charge_per_task, admission.tasks, term)
             self._log_admission(admission, term, reservation is not None)
+            self._log_tasks_left_out(admission)
             if reservation is None:
                 continue
             within_quota.append(admission)
@@ -208,6 +210,18 @@
                 self._view.ledger.describe(team),
             )
 
+    def _log_tasks_left_out(self, admission: JobAdmission) -> None:
+        """Logs that a transaction admits fewer tasks than planned, with the changes that more of them would need."""
+        if admission.left_out:
+            log.info(
+                "admission shortened job=%s admitted=%d left_out=%d changes_needed=%d changes_allowed=%d",
+                admission.job,
+                admission.tasks,
+                admission.left_out,
+                admission.changes_needed,
+                self._max_changes,
+            )
+
     def _release_resolved(self, reservations: list[QuotaReservation], result: TransactionResult) -> None:
         """Releases the reservations of a transaction once its outcome is known and visible in the copy of the records.
 
