Give the pieces of a split record keys that no other record has

When the size limit of values is lowered, an allocation record is split, and its pieces get numbers that follow from its own. If the limit is lowered twice, a piece is split again, and its pieces could get the key of another piece: of a record of 3 tasks, split first into records of 2 and then of 1, one task was lost. The same could happen to an admission, whose chunk numbers continue after those of a split if the job was admitted as a whole.

Now a split is told which keys are used, by records and by other splits of the transaction, and an admission skips them.

The new property test fails on the former code (sizes [3], limits [2, 1]: tasks 0 and 2 instead of 0 to 2).

--- a/spurarch/coordination/admission/job_admission.py
+++ b/spurarch/coordination/admission/job_admission.py
@@ -75,9 +75,7 @@
             if changes > self._max_changes:
                 self._changes_needed = self._changes_needed or changes + RESERVED_CHANGES
                 break
-            key = AllocationKey(self._zones.name(grant.zone), self._job_id, self._next_chunk)
-            self._next_chunk += 1
-            self._allocations.append((key, entries))
+            self._allocations.append((self._next_key(self._zones.name(grant.zone)), entries))
             self._new_tasks |= indices - moved_indices
             for source in sources:
                 self._moved_from.setdefault(source, set()).update(indices & grant.moved_from[source])
@@ -117,6 +115,14 @@
             self._changes_needed,
         )
 
+    def _next_key(self, zone: str) -> AllocationKey:
+        """Returns a key for a new allocation that no record has."""
+        recorded = self._state.allocations.get(self._job_id, {})
+        while (key := AllocationKey(zone, self._job_id, self._next_chunk)) in recorded:
+            self._next_chunk += 1
+        self._next_chunk += 1
+        return key
+
     def _changes_to_rewrite(self, source: AllocationKey) -> int:
         """Returns an upper bound of the changes that rewrite an allocation from which tasks are moved.
 
@@ -127,14 +133,14 @@
     def _source_writes(self) -> list[Write]:
         """Returns the changes to allocations from which tasks are moved; those without other tasks are deleted."""
         writes: list[Write] = []
+        used = {*self._state.allocations.get(self._job_id, {}), *(key for key, _ in self._allocations)}
         for source, indices in self._moved_from.items():
             record = self._state.allocations[source.job][source]
             remaining = [entry for entry in record.tasks if entry.index not in indices]
             if remaining:
-                writes += [
-                    Write(str(key), piece)
-                    for key, piece in records.split(source, AllocationRecord(remaining), self._tasks_per_record)
-                ]
+                pieces = records.split(source, AllocationRecord(remaining), self._tasks_per_record, used)
+                used.update(key for key, _ in pieces)
+                writes += [Write(str(key), piece) for key, piece in pieces]
             else:
                 writes.append(Write(str(source), None))
         return writes
--- a/spurarch/coordination/partition/record_writer.py
+++ b/spurarch/coordination/partition/record_writer.py
@@ -170,9 +170,11 @@
             batch_changes += pieces
         return out
 
-    def _writes_of(self, owned: OwnedPartition, change: _Change) -> list[Write]:
+    def _writes_of(self, owned: OwnedPartition, change: _Change, new_keys: set[AllocationKey]) -> list[Write]:
         """Returns the writes that make the change to the current records, or none if it no longer applies.
 
+        Adds the keys of records that are split to `new_keys`, which no other split of the transaction may use.
+
         Another controller can have changed the allocation since the change was decided. Writing the allocation as it
         was then would restore tasks that the leader has moved since.
         """
@@ -188,16 +190,21 @@
         new = merge_changes(record, change.entries, is_uncancelled_gang(cluster, change.allocation.job))
         if new is None:
             return []
-        pieces = records.split(change.allocation, new, self._max_tasks_per_record)
+        if len(new.tasks) <= self._max_tasks_per_record:
+            return [Write(str(change.allocation), new)]
+        used = new_keys | cluster.allocations[change.allocation.job].keys()
+        pieces = records.split(change.allocation, new, self._max_tasks_per_record, used)
+        new_keys.update(allocation for allocation, _ in pieces)
         return [Write(str(allocation), piece) for allocation, piece in pieces]
 
     async def _commit_batch(self, owned: OwnedPartition, batch: list[_Change], urgency: Urgency) -> None:
         if not self._permissions.owns(owned.partition):
             return
         writes: list[Write] = []
+        new_keys: set[AllocationKey] = set()
         guards = {records.PARTITION + owned.partition.zone}
         for change in batch:
-            change_writes = self._writes_of(owned, change)
+            change_writes = self._writes_of(owned, change, new_keys)
             writes += change_writes
             if change_writes and change.starting and change.allocation is not None:
                 guards.add(records.JOB + change.allocation.job)
--- a/spurarch/storage/records.py
+++ b/spurarch/storage/records.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Container
 from math import ceil
 from typing import Any, NamedTuple
 
@@ -251,17 +252,22 @@
 
 
 def split(
-    allocation: AllocationKey, record: AllocationRecord, max_tasks: int
+    allocation: AllocationKey, record: AllocationRecord, max_tasks: int, used: Container[AllocationKey] = ()
 ) -> list[tuple[AllocationKey, AllocationRecord]]:
     """Splits a record into records of at most `max_tasks` tasks.
 
-    The first piece keeps the key. All pieces have to be written in one transaction, so that no reader sees a task twice
-    or not at all. Records that were written before the size limit was lowered are split when they are next written.
+    The first piece keeps the key; no other piece gets a key that is in `used`. All pieces have to be written in one
+    transaction, so that no reader sees a task twice or not at all. Records that were written before the size limit was
+    lowered are split when they are next written.
     """
     pieces = [record.tasks[start : start + max_tasks] for start in range(0, len(record.tasks), max_tasks)]
     out = [(allocation, AllocationRecord(pieces[0] if pieces else []))]
-    for number, tasks in enumerate(pieces[1:], start=1):
-        chunk = FIRST_SPLIT_CHUNK + (allocation.chunk % FIRST_SPLIT_CHUNK) * MAX_SPLIT_CHUNKS + number
+    chunk = FIRST_SPLIT_CHUNK + (allocation.chunk % FIRST_SPLIT_CHUNK) * MAX_SPLIT_CHUNKS
+    for tasks in pieces[1:]:
+        chunk += 1
+        # The numbers of a second split of a piece overlap with those of other records.
+        while AllocationKey(allocation.zone, allocation.job, chunk) in used:
+            chunk += 1
         out.append((AllocationKey(allocation.zone, allocation.job, chunk), AllocationRecord(tasks)))
     return out
 
--- a/tests/test_gangs.py
+++ b/tests/test_gangs.py
@@ -226,6 +226,20 @@
     assert all(AllocationKey.parse(str(allocation)) == allocation for allocation, _ in pieces)
 
 
+@given(st.lists(st.integers(1, 40), min_size=1, max_size=6), st.lists(st.integers(1, 12), min_size=1, max_size=4))
+def test_records_that_are_split_again_and_again_keep_all_tasks(sizes: list[int], limits: list[int]) -> None:
+    """The key of a piece that was split once more was that of another record's piece, whose tasks were lost."""
+    stored = {
+        AllocationKey("a", "job-1", chunk): AllocationRecord([TaskEntry(100 * chunk + n) for n in range(size)])
+        for chunk, size in enumerate(sizes)
+    }
+    tasks = sorted(entry.index for record in stored.values() for entry in record.tasks)
+    for max_tasks in sorted(limits, reverse=True):
+        for key, record in list(stored.items()):
+            stored.update(records.split(key, record, max_tasks, stored.keys()))
+    assert sorted(entry.index for record in stored.values() for entry in record.tasks) == tasks
+
+
 def test_while_gangs_exist_a_controller_of_an_earlier_version_owns_no_partition() -> None:
     current = MemberRecord("n0", "x", "a", version=records.GANG_VERSION)
     earlier = MemberRecord("n1", "y", "b")
