Admit as many tasks as a transaction holds, and plan no change that none can hold

Cause: JobAdmissionBuilder took over returned tasks in pieces of up to 100, as many as an allocation holds, and a piece needs one change for each allocation record that its tasks come from. A team at its limit gets its tasks one by one, each with a record of its own. Once there were more of them than txn_ops less 3, the first piece never fitted, no smaller one was tried, and the transaction that was written held the unchanged admission record only. The next round planned the same.

Change: the builder adds the tasks of one source after the other, as far as changes and bytes allow; if a record is too large to be updated together with an admission, it is split first. Nothing is written if nothing can be. Sizes and limits of transactions are computed in one place (TransactionSize). Related paths: - An admission of many new tasks could exceed 64 KiB (275,198 bytes with txn_ops=200) and was refused again in each round. - A record of more than txn_ops times the tasks that a value holds can't be updated by any transaction. Owners sent such updates again and again. Neither leader nor owner plans them now; "allocation record too large to be updated" (warning) says so, once for each version. - Writing a rebuilt history counts bytes by the same limits.

--- a/spurarch/coordination/admission/plan.py
+++ b/spurarch/coordination/admission/plan.py
@@ -46,6 +46,7 @@
     grants: list[AdmissionGrant] = field(default_factory=list)
     shortages: list[CapacityShortage] = field(default_factory=list)
     next_job: str | None = None  # where the next round continues; None if this round planned all jobs
+    unwritable: list[AllocationKey] = field(default_factory=list)  # too large to be updated, with returned tasks
 
 
 @dataclass(slots=True)
--- a/spurarch/coordination/admission/planner.py
+++ b/spurarch/coordination/admission/planner.py
@@ -26,7 +26,7 @@
 from spurarch.coordination.fleet.job_view import JobView
 from spurarch.coordination.fleet.quota_ledger import NO_CHARGE, Charge
 from spurarch.storage import records
-from spurarch.storage.records import AllocationKey, TaskEntry
+from spurarch.storage.records import AllocationKey, AllocationRecord, TaskEntry
 
 
 class AdmissionPlanner:
@@ -36,6 +36,9 @@
     `admit_ahead_s`, and as many as fit on booting machines. Its partition owner starts them as soon as capacity is
     free, many with one record change. Otherwise, each task that ends would need an admission of another one, just when
     record changes are scarcest.
+
+    Tasks are not planned if they would have to be moved out of a record with more than `max_updatable_tasks` tasks:
+    that plan could not be written, in this round or in any other, and would keep capacity from other jobs.
     """
 
     def __init__(
@@ -46,8 +49,9 @@
         longest_wait_s: float = float("inf"),
         booting: Iterable[MachineCapacity] = (),
         min_tasks_per_zone: int = 1,
+        max_updatable_tasks: float = float("inf"),
     ) -> None:
-        self._view = view
+        self._view, self._max_updatable_tasks = view, max_updatable_tasks
         self._state = PlanningState(view, now, admit_ahead_s, longest_wait_s, booting, min_tasks_per_zone)
         preemption = PreemptionPlanner(self._state)
         self._arrays = ArrayPlanner(self._state, preemption)
@@ -132,7 +136,8 @@
 
     def _admit(self, job: JobView, plan: AdmissionPlan, max_grants: int) -> None:
         """Plans one job: assigns its tasks to zones, records its shortage, and adds grants within `max_grants`."""
-        allowed = min(self._tasks_allowed(job), job.to_admit)
+        admissible = job.to_admit - self._unwritable_tasks(job, plan) if job.returned else job.to_admit
+        allowed = min(self._tasks_allowed(job), admissible)
         if allowed <= 0:
             return
         if job.gang and allowed < job.to_admit:
@@ -145,6 +150,18 @@
             return  # granted in a later round; the bookings keep other jobs from using the capacity in this one
         self._grant(job, assignment, plan)
 
+    def _unwritable_tasks(self, job: JobView, plan: AdmissionPlan) -> int:
+        """Returns how many returned tasks are in records that can't be updated, and adds these to the plan."""
+        tasks = 0
+        for allocation, record in self._view.state.allocations.get(job.job_id, {}).items():
+            if self._is_unwritable(record) and (returned := _count_returned(record)):
+                plan.unwritable.append(allocation)
+                tasks += returned
+        return tasks
+
+    def _is_unwritable(self, record: AllocationRecord) -> bool:
+        return len(record.tasks) > self._max_updatable_tasks
+
     def _assign(self, job: JobView, allowed: int) -> ZoneAssignment:
         if job.gang:
             return self._gangs.assign(job)
@@ -203,6 +220,8 @@
         """Yields the tasks to admit: those returned by partitions, each with its allocation, then new ones by index."""
         if job.returned:
             for allocation, record in self._view.state.allocations.get(job.job_id, {}).items():
+                if self._is_unwritable(record):
+                    continue
                 for entry in record.tasks:
                     if entry.state == records.RETURNED:
                         yield TaskEntry(entry.index, records.UNASSIGNED, entry.attempt), allocation
@@ -210,6 +229,10 @@
             yield TaskEntry(index), None
 
 
+def _count_returned(record: AllocationRecord) -> int:
+    return sum(entry.state == records.RETURNED for entry in record.tasks)
+
+
 def _record_shortage(plan: AdmissionPlan, job: JobView, count: int) -> None:
     if count > 0:
         plan.shortages.append(
--- a/spurarch/coordination/admission/writer.py
+++ b/spurarch/coordination/admission/writer.py
@@ -18,7 +18,13 @@
 from spurarch.storage import records
 from spurarch.storage.rate_limits import Urgency
 from spurarch.storage.replica import Replica
-from spurarch.storage.transaction import TransactionResult, TransactionStatus, Write
+from spurarch.storage.transaction import (
+    TransactionResult,
+    TransactionSize,
+    TransactionStatus,
+    Write,
+    transaction_limits,
+)
 
 log = logging.getLogger(__name__)
 
@@ -30,20 +36,20 @@
     """Admissions that are committed in one transaction."""
 
     admissions: list[JobAdmission] = field(default_factory=list)
+    _size: TransactionSize = field(default_factory=TransactionSize)
 
     @property
     def writes(self) -> list[Write]:
         """The record changes of all admissions in the batch."""
         return [write for admission in self.admissions for write in admission.writes]
 
-    def can_add(self, admission: JobAdmission, max_changes: int) -> bool:
+    def can_add(self, admission: JobAdmission, limits: TransactionSize) -> bool:
         """Returns whether the batch stays within the limits with one more admission; an empty batch accepts any."""
-        changes = len(self.writes) + len(admission.writes)
-        max_bytes = sum(other.max_bytes for other in self.admissions) + admission.max_bytes
-        return not self.admissions or (changes <= max_changes and max_bytes <= records.MAX_TXN_CHANGE_BYTES)
+        return not self.admissions or self._size.plus(admission.size).fits_in(limits)
 
     def add(self, admission: JobAdmission) -> None:
         """Adds the admission of one job."""
+        self._size = self._size.plus(admission.size)
         self.admissions.append(admission)
 
 
@@ -62,7 +68,7 @@
         self._notify_peers = notify_peers
         self._admitting_arrays = False  # whether a background curio task is running
         self._tasks_per_record = records.tasks_per_record(limits.value_bytes)
-        self._max_changes = limits.transaction_changes
+        self._limits = transaction_limits(limits)
 
     def record_versions(self, job_id: str) -> RecordVersions:
         """Returns the versions of the records that an admission of the job is based on.
@@ -105,7 +111,7 @@
         batch = _Batch()
         for job_id, job_grants in grants_by_job.items():
             admission = self._valid_admission(job_id, job_grants, planned_versions[job_id])
-            if admission is not None and not batch.can_add(admission, self._max_changes):
+            if admission is not None and not batch.can_add(admission, self._limits):
                 await self._commit(batch, urgency)
                 batch = _Batch()
                 admission = self._valid_admission(job_id, job_grants, planned_versions[job_id])
@@ -117,7 +123,7 @@
     def _valid_admission(
         self, job_id: str, grants: list[AdmissionGrant], planned_versions: RecordVersions
     ) -> JobAdmission | None:
-        """Returns the record changes that admit the tasks of one job; None if the plan for it is outdated."""
+        """Returns the record changes that admit the tasks of one job; None if its plan is outdated or unwritable."""
         if not is_uncancelled_job(self._replica.state, job_id) or not self._is_still_valid(
             job_id, grants, planned_versions
         ):
@@ -131,9 +137,9 @@
         keys = {records.ADMISSION + job_id, *(str(source) for grant in grants for source in grant.moved_from)}
         return all(state.version(key) == planned_versions.get(key, 0) for key in keys)
 
-    def _job_admission(self, job_id: str, grants: list[AdmissionGrant]) -> JobAdmission:
+    def _job_admission(self, job_id: str, grants: list[AdmissionGrant]) -> JobAdmission | None:
         builder = JobAdmissionBuilder(
-            self._replica.state, self._view.zones, job_id, self._tasks_per_record, self._max_changes
+            self._replica.state, self._view.zones, job_id, self._tasks_per_record, self._limits
         )
         for grant in grants:
             builder.add(grant)
@@ -211,7 +217,10 @@
             )
 
     def _log_tasks_left_out(self, admission: JobAdmission) -> None:
-        """Logs that a transaction admits fewer tasks than planned, with the changes that more of them would need."""
+        """Logs that a transaction admits fewer tasks than planned, with the changes that more of them would need.
+
+        If it admits none, it splits a record that is too large to be updated together with an admission.
+        """
         if admission.left_out:
             log.info(
                 "admission shortened job=%s admitted=%d left_out=%d changes_needed=%d changes_allowed=%d",
@@ -219,7 +228,7 @@
                 admission.tasks,
                 admission.left_out,
                 admission.changes_needed,
-                self._max_changes,
+                self._limits.changes,
             )
 
     def _release_resolved(self, reservations: list[QuotaReservation], result: TransactionResult) -> None:
--- a/spurarch/coordination/leader.py
+++ b/spurarch/coordination/leader.py
@@ -19,7 +19,9 @@
 from spurarch.coordination.leader_context import LeaderContext
 from spurarch.coordination.runtime.round_budget import RoundBudget, pause_after_round_s
 from spurarch.coordination.scaling.scale_out import ScaleOut
+from spurarch.coordination.unwritable_allocations import UnwritableAllocations
 from spurarch.storage.rate_limits import Urgency
+from spurarch.storage.transaction import max_updatable_tasks
 
 log = logging.getLogger(__name__)
 
@@ -43,6 +45,7 @@
         )
         self._finalizer = JobFinalizer(self.replica, self.view, self.deployment.state)
         self._scale_out = ScaleOut(context)
+        self._unwritable = UnwritableAllocations(self.replica.state, self.deployment.state)
         self._next_job: str | None = None
         self._shortages: list[CapacityShortage] = []
         self._term: int | None = None  # under which this process leads; None if it does not lead
@@ -102,8 +105,10 @@
             self.tuning.longest_wait_s,
             self._scale_out.booting_capacity(now),
             max(1, round(MIN_TASKS_PER_ZONE * write_scarcity)),
+            max_updatable_tasks(self.deployment.state),
         )
         plan = planner.run(self._next_job, budget.spent, self.deployment.state.txn_ops)
+        self._unwritable.report(plan.unwritable)
         # The pause keeps rounds within a share of the processor, however much there is to admit.
         ended = time.monotonic()
         self._next_round_at = ended + pause_after_round_s(ended - now, cpu_share, ROUND_PAUSE_FACTOR, MIN_ROUND_PAUSE_S)
--- a/spurarch/coordination/partition/owned_partition.py
+++ b/spurarch/coordination/partition/owned_partition.py
@@ -76,9 +76,9 @@
         mostly_silent_since: Since when `mostly_silent` has been seen as set; None while most machines aren't silent.
     """
 
-    def __init__(self, partition: Partition, tuning: Tuning, silent_s: float) -> None:
+    def __init__(self, partition: Partition, tuning: Tuning, silent_s: float, max_updatable_tasks: int) -> None:
         self.partition = partition
-        self._tuning, self._silent_s = tuning, silent_s
+        self._tuning, self._silent_s, self._max_updatable_tasks = tuning, silent_s, max_updatable_tasks
         self.changed_keys: dict[str, None] = {}
         self.wakeup = curio.Event()
         self.next_search = 0.0
@@ -98,7 +98,9 @@
         """Places waiting tasks. Imported on first use, since a controller that starts has to answer workers first."""
         from spurarch.coordination.scheduling.placement import TaskPlacer
 
-        return TaskPlacer(self._tuning.longest_wait_s, self._tuning.guarantee_wait_s, self._silent_s)
+        return TaskPlacer(
+            self._tuning.longest_wait_s, self._tuning.guarantee_wait_s, self._silent_s, self._max_updatable_tasks
+        )
 
     @cached_property
     def terminal_records(self) -> TerminalRecords:
--- a/spurarch/coordination/partition/owner.py
+++ b/spurarch/coordination/partition/owner.py
@@ -16,6 +16,7 @@
 from spurarch.coordination.partition.state import PartitionContext
 from spurarch.coordination.scaling.scale_in import ScaleIn, ScaleInContext
 from spurarch.protocol import wire
+from spurarch.storage.transaction import max_updatable_tasks
 from spurarch.transport.http_messages import Response, error_response
 
 if TYPE_CHECKING:
@@ -167,7 +168,10 @@
             )
             lease_s = self._deployment.workers.lease_s
             partition = Partition(zone, record.epoch, lease_s, now, partition_context)
-            owned = self.owned[zone] = OwnedPartition(partition, self._context.tuning, self._context.silent_s)
+            context = self._context
+            owned = self.owned[zone] = OwnedPartition(
+                partition, context.tuning, context.silent_s, max_updatable_tasks(context.deployment.state)
+            )
         return owned
 
     def _may_start(self) -> bool:
--- a/spurarch/coordination/partition/record_writer.py
+++ b/spurarch/coordination/partition/record_writer.py
@@ -18,11 +18,21 @@
 from spurarch.coordination.partition.machine import MachineState
 from spurarch.coordination.partition.owned_partition import OwnedPartition, OwnerContext
 from spurarch.coordination.partition.partition import Partition
+from spurarch.coordination.unwritable_allocations import UnwritableAllocations
 from spurarch.storage import records
 from spurarch.storage.cluster_state import ClusterState
 from spurarch.storage.rate_limits import Urgency
 from spurarch.storage.records import AllocationKey, MachineRecord, TaskEntry
-from spurarch.storage.transaction import TransactionStatus, Write
+from spurarch.storage.transaction import (
+    TransactionSize,
+    TransactionStatus,
+    Write,
+    change_size,
+    guard_size,
+    max_updatable_tasks,
+    max_update_size,
+    transaction_limits,
+)
 
 log = logging.getLogger(__name__)
 
@@ -84,8 +94,11 @@
     def __init__(self, context: OwnerContext, permissions: Permissions, commands: CommandSender) -> None:
         self._replica, self._view = context.replica, context.view
         self._permissions, self._commands = permissions, commands
-        self._max_changes = context.deployment.state.transaction_changes
-        self._max_tasks_per_record = records.tasks_per_record(context.deployment.state.value_bytes)
+        limits = context.deployment.state
+        self._limits = transaction_limits(limits)
+        self._max_tasks_per_record = records.tasks_per_record(limits.value_bytes)
+        self._max_updatable_tasks = max_updatable_tasks(limits)
+        self._unwritable = UnwritableAllocations(context.replica.state, limits)
 
     async def commit(self, owned: OwnedPartition, changes: AllocationChanges, other: list[Write]) -> None:
         """Writes changes in transactions that guard the partition's record and, for starts, the records of the jobs.
@@ -110,7 +123,7 @@
                 or now - owned.last_deletion_at > DELETE_INTERVAL_S
             ):
                 owned.last_deletion_at = now
-                bulk = groups[Urgency.CLEANUP][: self._max_changes] + bulk
+                bulk = groups[Urgency.CLEANUP][: self._limits.changes] + bulk
             owned.placer.pending_changes = {c.allocation: c.entries or {} for c in bulk if c.allocation is not None}
             if owned.placer.pending_changes:
                 await curio.spawn(self._commit_bulk, owned, bulk, daemon=True)
@@ -141,6 +154,9 @@
         for allocation, entries in changes.items():
             if allocation in deletable or allocation in pending:
                 continue
+            if self._is_unwritable(allocation):
+                self._unwritable.report([allocation])
+                continue
             job = self._view.jobs.get(allocation.job)
             starting = any(entry.state == records.ASSIGNED for entry in entries.values())
             # The starts of a gang are usually one change, and its machines are idle until the last start is committed.
@@ -148,28 +164,37 @@
             out[urgency].append(_Change(None, allocation, entries, starting))
         return out
 
+    def report_unwritable(self, allocations: list[AllocationKey]) -> None:
+        """Logs allocations that no transaction can update; see `UnwritableAllocations`."""
+        self._unwritable.report(allocations)
+
+    def _is_unwritable(self, allocation: AllocationKey) -> bool:
+        record = self._replica.state.zone_allocations[allocation.zone].get(allocation)
+        return record is not None and len(record.tasks) > self._max_updatable_tasks
+
     def _batches(self, zone: str, changes: list[_Change]) -> list[list[_Change]]:
-        """Splits changes into batches within the limits on a transaction's bytes and number of changes."""
+        """Splits changes into batches within the limits of a transaction."""
         out: list[list[_Change]] = []
-        batch_bytes = batch_changes = 0
-        allocations = self._replica.state.zone_allocations[zone]
+        batch_size = TransactionSize()
         for change in changes:
-            is_update = change.allocation is not None and change.write is None
-            record = allocations.get(change.allocation) if change.allocation is not None and is_update else None
-            change_bytes = records.change_bytes(record)
-            pieces = records.count_split_records(record, self._max_tasks_per_record) if record is not None else 1
-            if (
-                not out
-                or batch_changes + pieces > self._max_changes
-                or batch_bytes + change_bytes > records.MAX_TXN_CHANGE_BYTES
-            ):
+            size = self._size_of(zone, change)
+            batch_size = batch_size.plus(size)
+            if not out or not batch_size.fits_in(self._limits):
                 out.append([])
-                batch_bytes = batch_changes = 0
+                batch_size = size
             out[-1].append(change)
-            batch_bytes += change_bytes
-            batch_changes += pieces
         return out
 
+    def _size_of(self, zone: str, change: _Change) -> TransactionSize:
+        """Returns an upper bound of the size of a change."""
+        if change.allocation is None or change.write is not None:
+            return change_size(None)
+        record = self._replica.state.zone_allocations[zone].get(change.allocation)
+        if record is None:
+            return change_size(None)
+        guards = guard_size(1 if change.starting else 0)
+        return max_update_size(record, self._max_tasks_per_record).plus(guards)
+
     def _writes_of(self, owned: OwnedPartition, change: _Change, new_keys: set[AllocationKey]) -> list[Write]:
         """Returns the writes that make the change to the current records, or none if it no longer applies.
 
--- a/spurarch/coordination/partition/rounds.py
+++ b/spurarch/coordination/partition/rounds.py
@@ -93,6 +93,7 @@
         placed = owned.placer.run_round(
             partition, self._context.view, now, budget.spent, MAX_ALLOCATIONS_PER_ROUND, time.time()
         )
+        self._writer.report_unwritable(placed.unwritable)
         if self._permissions.records_are_fresh(now):
             for attempt in placed.preempt:
                 log.info("preempting task job=%s task=%d machine=%s", *attempt.key, attempt.machine)
--- a/spurarch/coordination/scheduling/placement.py
+++ b/spurarch/coordination/scheduling/placement.py
@@ -35,11 +35,15 @@
     """Places the waiting tasks of one partition in successive rounds."""
 
     def __init__(
-        self, longest_wait_s: float = float("inf"), guarantee_wait_s: float = 0.0, max_silence_s: float = float("inf")
+        self,
+        longest_wait_s: float = float("inf"),
+        guarantee_wait_s: float = 0.0,
+        max_silence_s: float = float("inf"),
+        max_updatable_tasks: float = float("inf"),
     ) -> None:
         self.pending_changes: AllocationEntries = {}  # decided in earlier rounds, not yet committed
         self.writes_scarce = False  # the rate limit of the state service leaves few writes
-        self._settings = PlacementSettings(longest_wait_s, guarantee_wait_s, max_silence_s)
+        self._settings = PlacementSettings(longest_wait_s, guarantee_wait_s, max_silence_s, max_updatable_tasks)
         self._placement_state = PlacementState()
 
     def reserve_move_target(self, key: TaskKey, machine: str, expires_at: float) -> None:
@@ -112,6 +116,7 @@
         self._round.capacities.collect_with_free_cpus()
         self._book_pending_changes()
         self._gangs.apply_reservations()
+        self._round.result.unwritable = self._unwritable()
         jobs = self._round.view.jobs
         ranks = {allocation: self._rank(allocation) for allocation in self._placeable()}
         by_rank = sorted(ranks, key=ranks.__getitem__)
@@ -143,19 +148,36 @@
                 if entry.state == records.ASSIGNED and job is not None and capacity is not None:
                     capacities.bookings.book(capacity, job.requirements)
 
+    def _unwritable(self) -> list[AllocationKey]:
+        """Returns the allocations with waiting tasks whose record can't be updated."""
+        partition, max_tasks = self._round.partition, self._round.settings.max_updatable_tasks
+        recorded = self._round.view.state.zone_allocations[partition.zone]
+        return [
+            allocation
+            for allocation in partition.unassigned
+            if allocation in recorded and len(recorded[allocation].tasks) > max_tasks
+        ]
+
     def _placeable(self) -> list[AllocationKey]:
         """Returns the allocations with waiting tasks that may be placed now.
 
         Arrays are skipped while `pending_changes`, such as starts of arrays and deletions of allocations, wait to be
-        committed: no further arrays can be started until then, and their order may change.
+        committed: no further arrays can be started until then, and their order may change. A gang is skipped as a whole
+        if the record of some of its members can't be updated.
         """
         jobs, pending = self._round.view.jobs, self._round.pending_changes
+        unwritable = set(self._round.result.unwritable)
+        unwritable_gangs = {
+            allocation.job for allocation in unwritable if allocation.job in jobs and jobs[allocation.job].gang
+        }
         return [
             allocation
             for allocation in self._round.partition.unassigned
             if allocation.job in jobs
             and not (pending and jobs[allocation.job].array)
             and allocation not in pending
+            and allocation not in unwritable
+            and allocation.job not in unwritable_gangs
             and self._may_start(allocation.job)
         ]
 
--- a/spurarch/coordination/scheduling/placement_round.py
+++ b/spurarch/coordination/scheduling/placement_round.py
@@ -19,11 +19,12 @@
 
 @dataclass(slots=True, frozen=True)
 class PlacementSettings:
-    """Time limits of placement, in seconds."""
+    """Limits of placement; times are in seconds."""
 
     longest_wait_s: float  # a job that has waited longer without running any task is placed before all others
     guarantee_wait_s: float  # how long a task within its team's guarantee waits before it preempts
     max_silence_s: float  # a machine without a heartbeat for longer is given no tasks
+    max_updatable_tasks: float  # a record with more tasks can't be updated, so none of its tasks is placed
 
 
 @dataclass(slots=True)
@@ -34,11 +35,13 @@
         entries: Changed entries of allocation records, to be written.
         preempt: Attempts to stop.
         unfinished: Whether the round ended before it had handled every allocation.
+        unwritable: Allocations with waiting tasks that are not placed, since their record can't be updated.
     """
 
     entries: AllocationEntries = field(default_factory=dict)
     preempt: list[TaskAttempt] = field(default_factory=list)
     unfinished: bool = False
+    unwritable: list[AllocationKey] = field(default_factory=list)
 
 
 @dataclass(slots=True, eq=False)
--- a/spurarch/recovery/history_writer.py
+++ b/spurarch/recovery/history_writer.py
@@ -24,6 +24,7 @@
 )
 from spurarch.storage.records import UNRESOLVED, FinalRecord, LeaderRecord, PartitionRecord
 from spurarch.storage.seeds import SEED, SeedRecord, pack
+from spurarch.storage.transaction import BYTES_PER_CHANGE, TransactionSize, transaction_limits
 
 MAX_UNSHARED_WRITE_S = 2.0  # records share values if writing each under its own key takes longer at the published rate
 PACKED_FINAL_BYTES = 60  # JSON of one packed final state, with a margin for a long job id
@@ -48,7 +49,7 @@
             values_by_key = _share_values(values_by_key, self._limits)
             history.seeded = True
         puts = [wire.Put(history.prefix + key, value) for key, value in values_by_key.items()]
-        for batch in _batches(puts, self._limits.transaction_changes - 1):  # one more change renews the claim
+        for batch in _batches(puts, transaction_limits(self._limits)):
             await self._progress.commit(list(batch))
         await self._open(history)
         return history
@@ -130,16 +131,17 @@
     return out
 
 
-def _batches(puts: list[wire.Put], max_changes: int) -> Iterator[list[wire.Put]]:
-    """Yields one batch of changes for each transaction: `max_changes` or about `MAX_TXN_CHANGE_BYTES` at most."""
+def _batches(puts: list[wire.Put], limits: TransactionSize) -> Iterator[list[wire.Put]]:
+    """Yields one batch of changes for each transaction, which also has a change that renews the claim."""
+    claim = TransactionSize(1, 0, BYTES_PER_CHANGE)
     batch: list[wire.Put] = []
-    size = 0
+    batch_size = claim
     for put in puts:
-        length = len(wire.encode(put))
-        if batch and (len(batch) >= max_changes or size + length > records.MAX_TXN_CHANGE_BYTES):
+        size = TransactionSize(1, 0, len(wire.encode(put)) + 1)
+        if batch and not batch_size.plus(size).fits_in(limits):
             yield batch
-            batch, size = [], 0
+            batch, batch_size = [], claim
         batch.append(put)
-        size += length
+        batch_size = batch_size.plus(size)
     if batch:
         yield batch
--- a/spurarch/storage/records.py
+++ b/spurarch/storage/records.py
@@ -205,15 +205,6 @@
         return None
 
 
-MAX_TXN_CHANGE_BYTES = 56_000  # of the changes in a request; the rest of the state service's 64 KiB limit is for guards
-_BYTES_PER_CHANGE, _BYTES_PER_ENTRY = 400, 60
-
-
-def change_bytes(record: Record | None) -> int:
-    """Returns an upper bound of the bytes that a change takes in a request, without encoding the change."""
-    return _BYTES_PER_CHANGE + (_BYTES_PER_ENTRY * len(record.tasks) if isinstance(record, AllocationRecord) else 0)
-
-
 class AllocationKey(NamedTuple):
     """Key of an allocation record: the zone of its partition, the job id, and the allocation's number in the job."""
 
--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -132,7 +132,9 @@
     replica: Any = SlowReplica(fleet, lambda _: None)
     writer = writer_of(fleet, replica)
     grant = AdmissionGrant("job-1", fleet.view.zones.index("b"), [TaskEntry(0, records.UNASSIGNED, 1)], {SOURCE: {0}})
-    assert writer._job_admission("job-1", [grant]).tasks == 1
+    admission = writer._job_admission("job-1", [grant])
+    assert admission is not None
+    assert admission.tasks == 1
     curio.run(writer.admit, [grant], {"job-1": writer.record_versions("job-1")}, Urgency.STARTS)
     assert len(replica.committed) == 1
     assert fleet.view.ledger.recorded(0) == Charge.of(3.0, 0.0)
@@ -160,7 +162,9 @@
     grant = AdmissionGrant("job-1", fleet.view.zones.index("b"), [TaskEntry(0, records.UNASSIGNED, 1)], {SOURCE: {0}})
     planned = writer.record_versions("job-1")
     assert writer._is_still_valid("job-1", [grant], planned)
-    for write in writer._job_admission("job-1", [grant]).writes:
+    admission = writer._job_admission("job-1", [grant])
+    assert admission is not None
+    for write in admission.writes:
         fleet.put(write.key, write.record)
     assert not writer._is_still_valid("job-1", [grant], planned)
     assert writer._is_still_valid("job-1", [], writer.record_versions("job-1"))
--- /dev/null
+++ b/tests/test_transaction_limits.py
@@ -0,0 +1,188 @@
+"""Whatever the limits of the state service are, each round writes something or says why nothing can be written."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from types import SimpleNamespace
+from typing import Any
+
+import curio
+import msgspec
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from spurarch.coordination.admission.planner import AdmissionPlanner
+from spurarch.coordination.admission.writer import AdmissionWriter
+from spurarch.coordination.fleet.fleet_view import FleetView
+from spurarch.coordination.unwritable_allocations import UnwritableAllocations
+from spurarch.protocol import wire
+from spurarch.settings import StateLimits, Team
+from spurarch.storage import records
+from spurarch.storage.rate_limits import Urgency
+from spurarch.storage.records import (
+    AdmissionRecord,
+    AllocationKey,
+    AllocationRecord,
+    JobRecord,
+    MachineRecord,
+    TaskEntry,
+)
+from spurarch.storage.replica import Replica
+from spurarch.storage.transaction import max_updatable_tasks
+from tests.sim.limited_store import LimitedStore
+from tests.test_scale import submission
+
+JOB = "job-1"
+MACHINE_CPUS = 20_000.0  # one machine has room for all tasks of a test
+
+
+class Admissions:
+    """A leader that admits the tasks of one job under given limits; partition "a" has returned tasks of it."""
+
+    def __init__(self, limits: StateLimits, sources: list[AllocationRecord], new_tasks: int) -> None:
+        self.store = LimitedStore(limits)
+        client: Any = self.store
+        self.replica = Replica(client)
+        self.view = FleetView(self.replica.state, [Team("t")])
+        self.view.set_machine_types([wire.MachineType("big", MACHINE_CPUS, 0.0, MACHINE_CPUS, 1.0, 0.5, 30.0, ["b"])])
+        self.limits = limits
+        membership: Any = SimpleNamespace(confirmed_term=0)
+        self.writer = AdmissionWriter(self.replica, membership, self.view, limits, self._notify)
+        self.admitted = sum(len(source.tasks) for source in sources)
+        self.tasks = self.admitted + new_tasks
+        self._put(records.JOB + JOB, JobRecord(submission(JOB, self.tasks), 0.0))
+        self._put(records.machine_key("b", "vm-1"), MachineRecord("big", False, "10.1.0.1:9000"))
+        if sources:
+            self._put(records.ADMISSION + JOB, AdmissionRecord(self.admitted, len(sources)))
+        for chunk, source in enumerate(sources):
+            self._put(str(AllocationKey("a", JOB, chunk)), source)
+
+    async def _notify(self) -> None:
+        """No other controller waits for changes."""
+
+    def _put(self, key: str, record: records.Record) -> None:
+        self.store.revision += 1
+        self.replica.state.put(key, self.store.revision, record)
+        self.replica.state.advance(self.store.revision)
+
+    @property
+    def waiting(self) -> int:
+        """Number of tasks that wait for admission."""
+        self.view.update()
+        return self.view.jobs[JOB].to_admit
+
+    @property
+    def allocations(self) -> int:
+        """Number of allocation records of the job; a split adds some."""
+        return len(self.replica.state.allocations[JOB])
+
+    def run_round(self) -> list[AllocationKey]:
+        """Plans and writes one round; returns the records that it could not plan to update."""
+        self.view.update()
+        planner = AdmissionPlanner(self.view, 1.0, max_updatable_tasks=max_updatable_tasks(self.limits))
+        plan = planner.run(None, lambda: False, self.limits.txn_ops)
+        versions = {grant.job: self.writer.record_versions(grant.job) for grant in plan.grants}
+        curio.run(self.writer.admit, plan.grants, versions, Urgency.STARTS)
+        self.replica.state.advance(self.store.revision)
+        return plan.unwritable
+
+    def entries(self) -> list[TaskEntry]:
+        """Returns the entries of all allocations of the job."""
+        return [entry for record in self.replica.state.allocations[JOB].values() for entry in record.tasks]
+
+
+def sources_of(shapes: list[tuple[int, int]]) -> list[AllocationRecord]:
+    """Allocations of a job, each with the given numbers of returned and of assigned tasks."""
+    out, index = [], 0
+    for returned, assigned in shapes:
+        tasks = [TaskEntry(index + n, records.RETURNED, 1) for n in range(returned)]
+        tasks += [TaskEntry(index + returned + n, records.ASSIGNED, 1, "vm-000001", 1) for n in range(assigned)]
+        out.append(AllocationRecord(tasks))
+        index += len(tasks)
+    return out
+
+
+limits_of_a_service = st.builds(
+    StateLimits, st.just(100.0), st.just(100.0), st.sampled_from([0.25, 0.5, 1.0, 2.0, 8.0, 64.0]), st.integers(4, 200)
+)
+
+
+@settings(max_examples=100, deadline=None)
+@given(
+    limits_of_a_service,
+    st.lists(st.tuples(st.integers(0, 40), st.integers(0, 60)), max_size=40).map(
+        lambda shapes: [shape for shape in shapes if sum(shape)]
+    ),
+    st.sampled_from([0, 1, 30, 200]),
+)
+@example(StateLimits(100.0, 100.0, 16.0, 24), [(1, 0)] * 28, 0)  # review: an array admitted task by task
+@example(StateLimits(100.0, 100.0, 2.0, 8), [(1, 0)] * 6, 0)
+@example(StateLimits(100.0, 100.0, 64.0, 24), [(1, 99)] * 21, 0)  # the remaining tasks exceed the bytes of a request
+@example(StateLimits(100.0, 100.0, 64.0, 200), [], 16000)  # the new tasks do
+@example(StateLimits(100.0, 100.0, 2.0, 81), [], 3000)  # the new tasks are close to the bytes of a request
+@example(StateLimits(100.0, 100.0, 1.0, 4), [(1, 40), (1, 0)], 0)  # a record has to be split before tasks leave it
+@example(StateLimits(100.0, 100.0, 0.25, 4), [(1, 99), (1, 0)], 5)  # a record that can't be updated at all
+def test_each_round_admits_tasks_until_none_is_left_that_the_limits_allow(
+    limits: StateLimits, shapes: list[tuple[int, int]], new_tasks: int
+) -> None:
+    """An array of tasks from many records was planned, and left out of its transaction, again and again."""
+    admissions = Admissions(limits, sources_of(shapes), new_tasks)
+    if not admissions.tasks:
+        return
+    stuck = sum(returned for returned, assigned in shapes if returned + assigned > max_updatable_tasks(limits))
+    while admissions.waiting > stuck:
+        waiting, allocations = admissions.waiting, admissions.allocations
+        unwritable = admissions.run_round()
+        assert admissions.store.refused == []
+        assert admissions.waiting < waiting or admissions.allocations > allocations, f"{waiting} tasks still wait"
+        assert bool(unwritable) == bool(stuck)
+    entries = admissions.entries()
+    assert Counter(entry.index for entry in entries) == Counter(range(admissions.tasks))
+    assert sum(entry.state == records.RETURNED for entry in entries) == stuck
+    before = len(admissions.store.committed)
+    admissions.run_round()
+    assert len(admissions.store.committed) == before
+
+
+def test_tasks_move_out_of_small_records_while_a_larger_one_does_not_fit() -> None:
+    limits = StateLimits(100.0, 100.0, 1.0, 8)  # 12 tasks in a record
+    admissions = Admissions(limits, sources_of([(1, 90), (1, 0), (1, 0)]), 0)
+    max_tasks = max_updatable_tasks(limits)
+    assert max_tasks >= 91
+    admissions.run_round()
+    assert admissions.waiting == 1
+    while admissions.waiting:
+        admissions.run_round()
+    assert admissions.store.refused == []
+
+
+def test_a_record_that_can_not_be_updated_is_reported_once_for_each_version(caplog: pytest.LogCaptureFixture) -> None:
+    limits = StateLimits(100.0, 100.0, 0.25, 4)
+    admissions = Admissions(limits, sources_of([(1, 99)]), 0)
+    reports = UnwritableAllocations(admissions.replica.state, limits)
+    with caplog.at_level(logging.WARNING):
+        for _ in range(3):
+            reports.report(admissions.run_round())
+    assert [record.getMessage() for record in caplog.records] == [
+        "allocation record too large to be updated job=job-1 partition=a record=live/allot/a/job-1/0 tasks=100"
+        " changes_needed=34 changes_allowed=4"
+    ]
+    admissions._put(
+        str(AllocationKey("a", JOB, 0)), AllocationRecord([TaskEntry(n, records.RETURNED) for n in range(99)])
+    )
+    with caplog.at_level(logging.WARNING):
+        reports.report(admissions.run_round())
+    assert len(caplog.records) == 2
+
+
+def test_an_admission_does_not_overwrite_a_record_that_a_split_has_numbered() -> None:
+    admissions = Admissions(StateLimits(100.0, 100.0, 16.0, 24), sources_of([(0, 1)]), 0)
+    admissions._put(records.JOB + JOB, JobRecord(submission(JOB, 4), 0.0))
+    admissions._put(records.ADMISSION + JOB, AdmissionRecord(3, records.FIRST_SPLIT_CHUNK + 1))
+    taken = AllocationKey("b", JOB, records.FIRST_SPLIT_CHUNK + 1)
+    admissions._put(str(taken), AllocationRecord([TaskEntry(1), TaskEntry(2)]))
+    admissions.run_round()
+    assert msgspec.json.encode(admissions.replica.state.allocations[JOB][taken]) == b'[[[1,0,0,"",0],[2,0,0,"",0]]]'
+    assert sorted(entry.index for entry in admissions.entries()) == [0, 1, 2, 3]
