--- a/spurarch/storage/store.py
+++ b/spurarch/storage/store.py
@@ -58,11 +58,6 @@
         """Whether the records can be trusted: the history is open, or recovery is disabled."""
         return self.history is None or self.history.is_open
 
-    @property
-    def reserved_guards(self) -> int:
-        """Number of guards that this client adds to every transaction."""
-        return 0 if self.history is None else 1
-
     async def _call(
         self, method: str, target: str, body: bytes | None, wait_s: float = 0.0, urgency: Urgency = Urgency.STARTS
     ) -> tuple[int, bytes]:
--- a/tests/test_admission_order.py
+++ b/tests/test_admission_order.py
@@ -34,7 +34,7 @@
 
 def finalizer_of(fleet: Fleet) -> JobFinalizer:
     """A finalizer that decides which jobs are final, without a state service."""
-    replica: Any = SimpleNamespace(state=fleet.state, store=SimpleNamespace(reserved_guards=0))
+    replica: Any = SimpleNamespace(state=fleet.state)
     return JobFinalizer(replica, fleet.view, LIMITS)
 
 
@@ -193,9 +193,7 @@
     """The leader finalizes jobs in separate rounds; the keys they process must not accumulate on other controllers."""
     fleet = Fleet(3)
     membership: Any = SimpleNamespace(leading=False, confirmed_term=None)
-    replica: Any = SimpleNamespace(
-        state=fleet.state, loaded=True, listen=curio.Event, store=SimpleNamespace(reserved_guards=0)
-    )
+    replica: Any = SimpleNamespace(state=fleet.state, loaded=True, listen=curio.Event)
     deployment = Deployment(["a"], [], Workers(1.0, 10.0, 30.0), LIMITS, CloudLimits(1.0, 1.0))
     unused: Any = None
     leader = Leader(
--- a/tests/test_transaction_limits.py
+++ b/tests/test_transaction_limits.py
@@ -13,6 +13,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from spurarch.coordination.admission.job_finalizer import JobFinalizer
 from spurarch.coordination.admission.planner import AdmissionPlanner
 from spurarch.coordination.admission.writer import AdmissionWriter
 from spurarch.coordination.fleet.fleet_view import FleetView
@@ -25,6 +26,7 @@
     AdmissionRecord,
     AllocationKey,
     AllocationRecord,
+    FinalRecord,
     JobRecord,
     MachineRecord,
     TaskEntry,
@@ -158,6 +160,20 @@
     assert admissions.store.refused == []
 
 
+@pytest.mark.parametrize("changes", [4, 24, 200, 2000])
+def test_the_final_state_of_a_job_with_many_allocations_fits_in_a_transaction(changes: int) -> None:
+    """With many changes allowed, the guards of the allocations exceeded the bytes of a request."""
+    limits = StateLimits(100.0, 100.0, 16.0, changes)
+    ended = [AllocationRecord([TaskEntry(index, records.ENDED, 1)]) for index in range(3000)]
+    admissions = Admissions(limits, ended, 0)
+    admissions.view.update()
+    finalizer = JobFinalizer(admissions.replica, admissions.view, limits)
+    finalizer.begin_term()
+    curio.run(finalizer.finalize_jobs)
+    assert admissions.store.refused == []
+    assert admissions.replica.state.finals == {JOB: FinalRecord(wire.DONE, 3000)}
+
+
 def test_a_record_that_can_not_be_updated_is_reported_once_for_each_version(caplog: pytest.LogCaptureFixture) -> None:
     limits = StateLimits(100.0, 100.0, 0.25, 4)
     admissions = Admissions(limits, sources_of([(1, 99)]), 0)
