Unpack shared values in several transactions under lowered limits

After a rebuild with many records, up to txn_ops - 1 of them share a value, and one transaction unpacks it before a record is changed. With a txn_ops lowered since, that transaction would be refused, and the same one sent for each change of any of these records, so that their jobs would stand still.

Now a transaction unpacks as many records as it may change, and rewrites the value with the others. Controllers take the rewritten value from their watch. If even that exceeds the limits, nothing is sent, and a warning names the value once.

Tests (not run on the former code): the value of 23 records is unpacked under txn_ops 4, 8 and 24, by the controller that writes and by one that follows; values that can't be unpacked; all values of a rebuild can be.

--- a/spurarch/storage/commit.py
+++ b/spurarch/storage/commit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from collections.abc import Awaitable, Callable, Iterable
 from typing import TYPE_CHECKING
@@ -9,6 +10,7 @@
 import curio
 
 from spurarch.protocol import wire
+from spurarch.settings import StateLimits
 from spurarch.storage import records
 from spurarch.storage.cluster_state import ClusterState
 from spurarch.storage.rate_limits import Urgency
@@ -19,6 +21,8 @@
     from spurarch.storage.history import HistoryGuard
     from spurarch.storage.seeds import PackedSeed
 
+log = logging.getLogger(__name__)
+
 RETRY_UNKNOWN_S = 0.1  # after an attempt whose outcome is unknown
 RETRY_REFUSED_S = 0.3  # after the service refused to execute a retry of such an attempt
 
@@ -38,6 +42,7 @@
     ) -> None:
         self._store, self._state = store, state
         self._sync, self._notify = sync, notify
+        self._oversize_reported: set[str] = set()  # keys of shared values
 
     async def commit(
         self,
@@ -86,8 +91,8 @@
         """Unpacks the shared values that hold any of these keys; returns the result that was no commit, or None."""
         if self._state.seeds is None:
             return None
-        for packed in self._state.seeds.holding(keys):
-            result = await self._unpack(packed, urgency)
+        while packs := self._state.seeds.holding(keys):
+            result = await self._unpack(packs[0], urgency)
             if result.status is not TransactionStatus.COMMITTED:
                 return result
         return None
@@ -95,23 +100,50 @@
     async def _unpack(self, packed: PackedSeed, urgency: Urgency) -> TransactionResult:
         """Writes the records of a shared value under their own keys and deletes the value.
 
-        The guards fail if another controller has unpacked the value since it was read. So no newer record is replaced.
+        Under limits that were lowered since the rebuild, it writes as many of the records as a transaction may hold,
+        and the value with the others. The guards fail if another controller has unpacked the value since it was read.
+        So no newer record is replaced.
         """
+        from spurarch.storage.seeds import PackedSeed, split_pack
+
         assert self._state.seeds is not None
-        keys = [record.key for record in packed.pack.records]
+        limits = self._store.limits
+        unpacked, rest = split_pack(packed.pack, limits.transaction_changes)
+        if rest.records and len(wire.encode(rest)) > limits.value_bytes:
+            self._report_oversize(packed, limits)
+            return TransactionResult(TransactionStatus.INVALID)
         txn = wire.Txn(
-            [wire.Guard(packed.key, packed.version), *(wire.Guard(key, 0) for key in keys)],
-            [*(wire.Put(record.key, record.value) for record in packed.pack.records), wire.Delete(packed.key)],
+            [wire.Guard(packed.key, packed.version), *(wire.Guard(record.key, 0) for record in unpacked)],
+            [
+                *(wire.Put(record.key, record.value) for record in unpacked),
+                wire.Put(packed.key, rest) if rest.records else wire.Delete(packed.key),
+            ],
         )
         result = await self._store.txn(txn, urgency)
         if result.status is TransactionStatus.COMMITTED:
             self._state.seeds.drop(packed.key)
-            for record in packed.pack.records:
+            if rest.records:
+                self._state.seeds.put(PackedSeed(packed.key, result.revision, rest))
+            for record in unpacked:
                 self._state.put_encoded(record.key, result.revision, record.value)
         elif result.status is not TransactionStatus.NOT_EXECUTED:
             await self._sync()  # another controller may have unpacked it, or this one without receiving the response
         return result
 
+    def _report_oversize(self, packed: PackedSeed, limits: StateLimits) -> None:
+        """Logs, once for each shared value, that it can't be unpacked within the limits."""
+        if packed.key not in self._oversize_reported:
+            self._oversize_reported.add(packed.key)
+            log.warning(
+                "shared value too large to be unpacked record=%s records=%d bytes=%d changes_allowed=%d"
+                " value_bytes_allowed=%d",
+                packed.key,
+                len(packed.pack.records),
+                len(wire.encode(packed.pack)),
+                limits.transaction_changes,
+                limits.value_bytes,
+            )
+
     def _check_conflict(self, history: HistoryGuard, sent: dict[str, int], failed: list[str]) -> None:
         """Marks the history as lost if a guard failed although the local copy still has the guarded version.
 
--- a/spurarch/storage/replica.py
+++ b/spurarch/storage/replica.py
@@ -155,6 +155,8 @@
     def _apply_event(self, event: wire.Event) -> None:
         if event.put is not None:
             self.state.put_encoded(event.put, event.version, event.value)
+            if self.state.seeds is not None:
+                self.state.seeds.put_encoded(event.put, event.version, event.value)
         elif event.delete is not None:
             self.state.delete(event.delete, event.version)
             if self.state.seeds is not None:
--- a/spurarch/storage/seeds.py
+++ b/spurarch/storage/seeds.py
@@ -3,7 +3,8 @@
 A rebuild writes one value for as many records as one transaction can later unpack. So the history opens after a few
 hundred changes instead of many thousands. A controller that loads the records treats those in seeds like all others.
 Before a record in a seed is written or guarded for the first time, one transaction unpacks the seed: it writes all
-records of the seed under their own keys and deletes the seed.
+records of the seed under their own keys and deletes the seed. If the limits of the state service were lowered since the
+rebuild, several transactions unpack it, and each but the last one rewrites the seed with the remaining records.
 """
 
 from __future__ import annotations
@@ -14,6 +15,8 @@
 import msgspec
 from msgspec import Struct
 
+from spurarch.storage.transaction import BYTES_PER_CHANGE, BYTES_PER_REQUEST, MAX_REQUEST_BYTES
+
 if TYPE_CHECKING:
     from spurarch.storage.cluster_state import ClusterState
     from spurarch.storage.store import Store
@@ -59,11 +62,20 @@
         self._pack_keys: dict[str, str] = {}  # by record key, the key of its shared value
 
     def put(self, packed: PackedSeed) -> None:
-        """Adds a shared value."""
+        """Adds a shared value, or replaces an earlier version of it."""
+        known = self._packs.get(packed.key)
+        if known is not None and known.version >= packed.version:
+            return
+        self.drop(packed.key)
         self._packs[packed.key] = packed
         for record in packed.pack.records:
             self._pack_keys[record.key] = packed.key
 
+    def put_encoded(self, key: str, version: int, value: msgspec.Raw) -> None:
+        """Decodes and adds a shared value; does nothing for any other key. Raises `msgspec.DecodeError`."""
+        if key.startswith(SEED):
+            self.put(PackedSeed(key, version, decode_seed(value)))
+
     def drop(self, key: str) -> None:
         """Removes a shared value after it was unpacked and deleted; does nothing for any other key."""
         packed = self._packs.pop(key, None)
@@ -106,7 +118,7 @@
 
 
 def pack(records: list[SeedRecord], max_changes: int, value_bytes: int) -> list[SeedPack]:
-    """Packs records into values of at most `value_bytes`.
+    """Packs records into values of at most `value_bytes`, each of which one transaction can unpack.
 
     Each value holds at most `max_changes - 1` records, so that unpacking it takes at most `max_changes` changes: one
     for each record, and the deletion of the value.
@@ -115,9 +127,21 @@
     pack_bytes = 0
     for record in records:
         record_bytes = len(msgspec.json.encode(record)) + 1
-        if not packs or len(packs[-1].records) >= max_changes - 1 or pack_bytes + record_bytes > value_bytes - 64:
+        request_bytes = pack_bytes + record_bytes + BYTES_PER_CHANGE * (len(packs[-1].records) + 2 if packs else 2)
+        if (
+            not packs
+            or len(packs[-1].records) >= max_changes - 1
+            or pack_bytes + record_bytes > value_bytes - 64
+            or request_bytes > MAX_REQUEST_BYTES - BYTES_PER_REQUEST
+        ):
             packs.append(SeedPack([]))
             pack_bytes = 0
         packs[-1].records.append(record)
         pack_bytes += record_bytes
     return packs
+
+
+def split_pack(packed: SeedPack, max_changes: int) -> tuple[list[SeedRecord], SeedPack]:
+    """Returns the records that one transaction can unpack, and the remaining ones, which keep the shared value."""
+    count = min(len(packed.records), max_changes - 1)  # one change deletes the value or writes the remaining records
+    return packed.records[:count], SeedPack(packed.records[count:])
--- a/spurarch/storage/store.py
+++ b/spurarch/storage/store.py
@@ -50,6 +50,7 @@
         self, client: RequestClient, limits: StateLimits, controllers: int, history: HistoryGuard | None = None
     ) -> None:
         self._client = client
+        self.limits = limits
         self.history = history  # None if recovery is disabled
         self.rates = StoreRates(limits, controllers)
 
--- a/tests/sim/limited_store.py
+++ b/tests/sim/limited_store.py
@@ -24,7 +24,7 @@
         self.revision = 0
         self.committed: list[wire.Txn] = []
         self.refused: list[str] = []
-        self._limits = limits
+        self.limits = limits
 
     async def txn(self, txn: wire.Txn, urgency: Urgency = Urgency.STARTS) -> TransactionResult:
         """Commits a transaction or refuses it; guards are taken to hold."""
@@ -37,7 +37,7 @@
         return TransactionResult(TransactionStatus.COMMITTED, self.revision)
 
     def _excess(self, txn: wire.Txn) -> str | None:
-        max_changes = self._limits.transaction_changes
+        max_changes = self.limits.transaction_changes
         if len(txn.then) > max_changes:
             return f"{len(txn.then)} changes"
         if len(txn.guards) > 4 * max_changes:
@@ -46,6 +46,6 @@
         if request_bytes > MAX_REQUEST_BYTES:
             return f"{request_bytes} bytes"
         for change in txn.then:
-            if isinstance(change, wire.Put) and len(msgspec.json.encode(change.value)) > self._limits.value_bytes:
+            if isinstance(change, wire.Put) and len(msgspec.json.encode(change.value)) > self.limits.value_bytes:
                 return f"value of {change.key}"
         return None
--- a/tests/test_transaction_limits.py
+++ b/tests/test_transaction_limits.py
@@ -32,7 +32,8 @@
     TaskEntry,
 )
 from spurarch.storage.replica import Replica
-from spurarch.storage.transaction import max_updatable_tasks
+from spurarch.storage.seeds import SEED_VERSION, PackedSeed, SeedPack, SeedRecord, Seeds, pack
+from spurarch.storage.transaction import TransactionStatus, Write, max_updatable_tasks
 from tests.sim.limited_store import LimitedStore
 from tests.test_scale import submission
 
@@ -202,3 +203,78 @@
     admissions.run_round()
     assert msgspec.json.encode(admissions.replica.state.allocations[JOB][taken]) == b'[[[1,0,0,"",0],[2,0,0,"",0]]]'
     assert sorted(entry.index for entry in admissions.entries()) == [0, 1, 2, 3]
+
+
+def seeded_replica(limits: StateLimits, count: int) -> tuple[Replica, LimitedStore]:
+    """A copy of the records of a rebuilt history: one shared value that holds jobs 0 to `count - 1`."""
+    store = LimitedStore(limits)
+    client: Any = store
+    replica = Replica(client)
+    jobs = {f"{records.JOB}job-{n}": JobRecord(submission(f"job-{n}", 1), 0.0) for n in range(count)}
+    shared = [SeedRecord(key, msgspec.Raw(msgspec.json.encode(job))) for key, job in jobs.items()]
+    replica.state.seeds = Seeds()
+    replica.state.seeds.put(PackedSeed("seed/0", 7, SeedPack(shared)))
+    for key, job in jobs.items():
+        replica.state.put(key, SEED_VERSION, job)
+    store.revision = 7
+    return replica, store
+
+
+@pytest.mark.parametrize("changes", [4, 8, 24])
+def test_a_shared_value_is_unpacked_within_limits_that_were_lowered_since_the_rebuild(changes: int) -> None:
+    """It was written by one transaction, which the state service refused whenever one of its records was to change."""
+    replica, store = seeded_replica(StateLimits(100.0, 100.0, 16.0, changes), 23)
+    follower, _ = seeded_replica(StateLimits(100.0, 100.0, 16.0, changes), 23)
+    key = f"{records.JOB}job-22"
+    result = curio.run(replica.commit, [Write(key, None)])
+    assert result.status is TransactionStatus.COMMITTED
+    assert store.refused == []
+    written = [change.key for txn in store.committed for change in txn.then if change.key.startswith(records.JOB)]
+    assert Counter(written) == Counter([*(f"{records.JOB}job-{n}" for n in range(23)), key])
+    assert replica.state.version(key) == 0
+
+    for revision, txn in enumerate(store.committed, start=8):
+        for change in txn.then:
+            if isinstance(change, wire.Put):
+                value = msgspec.Raw(msgspec.json.encode(change.value))
+                follower._apply_event(wire.Event(revision, change.key, value=value))
+            else:
+                follower._apply_event(wire.Event(revision, delete=change.key))
+    assert follower.state.seeds is not None
+    assert follower.state.seeds.holding([f"{records.JOB}job-{n}" for n in range(23)]) == []
+
+
+def test_a_shared_value_that_can_not_be_unpacked_is_not_sent_and_is_reported_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    replica, store = seeded_replica(StateLimits(100.0, 100.0, 0.5, 4), 23)
+    with caplog.at_level(logging.WARNING):
+        for _ in range(3):
+            result = curio.run(replica.commit, [Write(f"{records.JOB}job-1", None)])
+            assert result.status is TransactionStatus.INVALID
+    assert store.committed == []
+    assert store.refused == []
+    assert [record.getMessage().split(" record=")[0] for record in caplog.records] == [
+        "shared value too large to be unpacked"
+    ]
+
+
+@given(st.integers(4, 400), st.sampled_from([2.0, 8.0, 16.0, 64.0]), st.lists(st.integers(1, 6000), max_size=80))
+def test_every_shared_value_of_a_rebuild_can_be_unpacked_under_the_same_limits(
+    changes: int, value_kb: float, sizes: list[int]
+) -> None:
+    limits = StateLimits(100.0, 100.0, value_kb, changes)
+    shared = [
+        SeedRecord(f"{records.JOB}job-{n}", msgspec.Raw(b'"' + b"x" * min(size, limits.value_bytes // 2) + b'"'))
+        for n, size in enumerate(sizes)
+    ]
+    for packed in pack(shared, limits.transaction_changes, limits.value_bytes):
+        store = LimitedStore(limits)
+        txn = wire.Txn(
+            [wire.Guard("h2.9f2c/seed/0", 1), *(wire.Guard(f"h2.9f2c/{record.key}", 0) for record in packed.records)],
+            [
+                *(wire.Put(f"h2.9f2c/{record.key}", record.value) for record in packed.records),
+                wire.Delete("h2.9f2c/seed/0"),
+            ],
+        )
+        assert curio.run(store.txn, txn).status is TransactionStatus.COMMITTED, store.refused
