--- a/spurarch/coordination/admission/job_admission.py
+++ b/spurarch/coordination/admission/job_admission.py
@@ -27,6 +27,7 @@
 )
 
 GUARDS_PER_JOB = 2  # its job record and its admission record
+ADMISSION_RECORD_SIZE = TransactionSize(1, 0, BYTES_PER_CHANGE)
 
 TasksOfSource = tuple[AllocationKey | None, list[TaskEntry]]  # None: tasks that were never admitted
 
@@ -66,7 +67,7 @@
         self._allocations: list[tuple[AllocationKey, list[TaskEntry]]] = []
         self._moved_from: dict[AllocationKey, set[int]] = {}  # indices of tasks, by the allocation they leave
         self._new_tasks: set[int] = set()
-        self._size = guard_size(GUARDS_PER_JOB).plus(TransactionSize(1, 0, BYTES_PER_CHANGE))  # the admission record
+        self._size = guard_size(GUARDS_PER_JOB)  # without the admission record, which not every admission writes
         self._planned_tasks = 0
         self._changes_needed = 0
         self._sources_left_out: dict[AllocationKey, None] = {}
@@ -111,8 +112,8 @@
             size = size.plus(TransactionSize(1, 0, BYTES_PER_CHANGE))
         if source is not None and source not in self._moved_from:
             size = size.plus(self._size_of_source(source))
-        if not size.fits_in(self._limits):
-            self._changes_needed = self._changes_needed or size.changes
+        if not size.plus(ADMISSION_RECORD_SIZE).fits_in(self._limits):
+            self._changes_needed = self._changes_needed or size.plus(ADMISSION_RECORD_SIZE).changes
             if source is not None:
                 self._sources_left_out[source] = None
             return False
@@ -173,11 +174,13 @@
             and not self._moved_from
             and admitted == self._state.jobs[self._job_id].spec.tasks
         )
+        size = self._size
         if not whole_job:
+            size = size.plus(ADMISSION_RECORD_SIZE)
             admission_write = Write(records.ADMISSION + self._job_id, AdmissionRecord(admitted, self._next_chunk))
             writes = [admission_write, *writes, *self._source_writes()]
         left_out = self._planned_tasks - tasks
-        return JobAdmission(self._job_id, tasks, writes, self._size, left_out, self._changes_needed)
+        return JobAdmission(self._job_id, tasks, writes, size, left_out, self._changes_needed)
 
     def _split_only(self) -> JobAdmission | None:
         """Returns the changes that split one of the records whose tasks were left out; None if there is none.
--- a/tests/test_transaction_limits.py
+++ b/tests/test_transaction_limits.py
@@ -149,6 +149,15 @@
     assert len(admissions.store.committed) == before
 
 
+def test_as_many_whole_jobs_are_admitted_together_as_a_transaction_has_changes() -> None:
+    """A job that is admitted as a whole takes one change, since its admission record is not written."""
+    admissions = Admissions(StateLimits(100.0, 100.0, 16.0, 24), [], 1)
+    for number in range(2, 25):
+        admissions._put(f"{records.JOB}job-{number}", JobRecord(submission(f"job-{number}", 1), 0.0))
+    admissions.run_round()
+    assert [len(txn.then) for txn in admissions.store.committed] == [24]
+
+
 def test_tasks_move_out_of_small_records_while_a_larger_one_does_not_fit() -> None:
     limits = StateLimits(100.0, 100.0, 1.0, 8)  # 12 tasks in a record
     admissions = Admissions(limits, sources_of([(1, 90), (1, 0), (1, 0)]), 0)
