Tests: end the controllers of a scenario before its event loop

A scenario that ends while a leader admits arrays in every round failed with curio's "New tasks created during shutdown" instead of its list of problems: one controller started a task while the others were being cancelled.

--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -211,6 +211,12 @@
             await self._act(words)
         await curio.sleep(max(0.0, 1000.0 + self.scenario.end - self.clock.now))
         self._check()
+        await self._stop_controllers()
+
+    async def _stop_controllers(self) -> None:
+        """Ends all controllers. Otherwise a busy one may start a task during curio's shutdown, which is an error."""
+        for task in self.running.values():
+            await task.cancel()
 
     async def _act(self, words: list[str]) -> None:
         action, args, opts = words[0], words[1:], options(words)
