--- a/tests/sim/soak.py
+++ b/tests/sim/soak.py
@@ -11,7 +11,6 @@
 
 import argparse
 import json
-import signal
 import sys
 import tempfile
 import time
@@ -27,14 +26,11 @@
 from tests.outcomes import ACCEPTED, REPORTED, Event
 from tests.sim.loopback import Installation, run_script
 from tests.sim.relay import Relay
-from tests.sim.soak_plan import FAULT_KINDS, SIZES, InjectedFault, PlannedJob, SoakPlan, make_plan
-from tests.sim.soak_world import LATE_COMMAND_S, FaultyLinks, SoakWorld
+from tests.sim.soak_faults import FaultInjector
+from tests.sim.soak_plan import FAULT_KINDS, SIZES, PlannedJob, SoakPlan, make_plan
+from tests.sim.soak_world import FaultyLinks, SoakWorld
 
 SETTLE_TIMEOUT_S = 150.0  # for all jobs to end after the last injected fault; only a defect keeps them longer
-SLOW_READ_S, SLOW_PAGE_S = 0.4, 0.6
-LATE_SHARE = 0.4  # of transactions and heartbeats
-MAX_REPEATED_TRANSACTIONS = 200  # the latest ones
-LEADERS_IN_SERIES = 4  # leaders that are killed one after the other
 FINAL = {"done", "aborted"}
 DEFECT_MARKERS = ("Traceback", "invariant violated")  # in a controller's log
 
@@ -75,10 +71,10 @@
             self.links.handlers.remote[address] = self._remote(name, address)
         self.relays: dict[tuple[int, int], Relay] = {}
         self._final_states: dict[str, str] = {}
-        self._cancelled: set[str] = set()
+        self.cancelled: set[str] = set()
         self._unfinished_jobs: set[str] = {planned.job.ref for planned in plan.jobs}
         self._paused: set[str] = set()
-        self._faults_end_at = 0.0
+        self.faults = FaultInjector(self)
         self.leaders = 0
 
     def _remote(self, name: str, address: str) -> Handler:
@@ -138,122 +134,6 @@
             before = boot or before
             await curio.sleep(0.1)
 
-    # Faults
-
-    async def inject_fault(self, fault: InjectedFault) -> None:
-        """Injects a fault, which ends by itself."""
-        self._record("trouble", asdict(fault))
-        now, until = self.clock.now, self.clock.now + fault.for_s
-        self._faults_end_at = max(self._faults_end_at, until)
-        node = int(fault.choice * len(self.nodes))
-        leader = self.leader()
-        names = sorted(name for name, worker in self.world.workers.items() if worker.up)
-        affected = names[int(fault.choice * len(names)) :][: max(1, len(names) // 8)]
-        match fault.kind:
-            case "kill":
-                await self._restart(node, fault.for_s)
-            case "kill-leader":
-                await self._restart(leader if leader is not None else node, fault.for_s)
-            case "kill-all":
-                for index in range(len(self.nodes)):
-                    await curio.spawn(self._restart, index, fault.for_s, daemon=True)
-            case "leaders-in-series":
-                for _ in range(LEADERS_IN_SERIES):
-                    current = self.leader()
-                    if current is not None:
-                        await self._restart(current, 0.2)
-                    await curio.sleep(1.0)
-            case "pause" | "pause-leader":
-                await self._pause(leader if fault.kind == "pause-leader" and leader is not None else node, fault.for_s)
-            case "peers-hold" | "peers-refuse":
-                await self._cut_peers(node, fault)
-            case "refuse-leader":
-                self.store.refused_until[f"n{leader if leader is not None else node}"] = until
-            case "outage":
-                self.store.outage(fault.for_s)
-            case "slow-state":
-                self.store.slow_until, self.store.slow_s = until, SLOW_READ_S
-            case "late-writes":
-                self.store.late_until, self.store.late_share = until, LATE_SHARE
-                self._faults_end_at = max(self._faults_end_at, until + 12.0)
-            case "lost-answers":
-                self.store.lose_answers_until = now + min(fault.for_s, 1.5)
-            case "repeated-writes":
-                self._repeat_writes()
-            case "too-old":
-                self.store.too_old[f"n{node}"] = until
-            case "no-watch":
-                self.store.no_watch[f"n{node}"] = until
-            case "slow-pages":
-                self.store.slow_pages[f"n{node}"] = SLOW_PAGE_S
-                self.store.too_old[f"n{node}"] = now + 0.5
-            case "hang":
-                for name in affected:
-                    self.world.workers[name].hang_until = until
-            case "deaf":
-                self.links.responses_lost_until |= dict.fromkeys(affected, until)
-            case "late-responses":
-                self.links.responses_late_until |= dict.fromkeys(affected, until)
-            case "mute":
-                self.links.heartbeats_lost_until |= dict.fromkeys(affected, until)
-            case "machine-dies":
-                self.world.workers[affected[0]].fail()
-            case "late-reports":
-                self.world.late_heartbeats_until, self.world.late_heartbeats_share = until, LATE_SHARE
-                self._faults_end_at = max(self._faults_end_at, until + 2 * self.settings.lease_s)
-            case "late-commands":
-                self.links.late_commands_until = until
-                self._faults_end_at = max(self._faults_end_at, until + LATE_COMMAND_S[1])
-            case "cancel-burst":
-                await self._cancel_burst(fault)
-            case _:
-                raise ValueError(f"unknown trouble {fault.kind}")
-
-    async def _restart(self, index: int, for_s: float) -> None:
-        if f"n{index}" not in self.processes:
-            return
-        self.kill(f"n{index}")
-        await curio.sleep(for_s)
-        if f"n{index}" not in self.processes:
-            self.start_controller(index)
-
-    async def _pause(self, index: int, for_s: float) -> None:
-        process = self.processes.get(f"n{index}")
-        if process is None or process.poll() is not None:
-            return
-        process.send_signal(signal.SIGSTOP)
-        await curio.sleep(for_s)
-        if process.poll() is None:
-            process.send_signal(signal.SIGCONT)
-
-    async def _cut_peers(self, node: int, fault: InjectedFault) -> None:
-        """Holds or refuses requests of a controller to one peer or to all peers."""
-        pairs = [pair for pair in self.relays if pair[0] == node]
-        for pair in pairs if fault.choice * 10 % 2 < 1 else pairs[:1]:
-            relay = self.relays[pair]
-            relay.held, relay.refused = fault.kind == "peers-hold", fault.kind == "peers-refuse"
-        await curio.sleep(fault.for_s)
-        for pair in pairs:
-            self.relays[pair].held = self.relays[pair].refused = False
-
-    def _repeat_writes(self) -> None:
-        """Delivers the latest transactions once more; a change by one of them may be a defect."""
-        rates = dict(self.store._rates)
-        applied = self.store._applied[-MAX_REPEATED_TRANSACTIONS:]
-        for body in list(applied):
-            self.store._rates["writes"] = (1e9, 1e9, self.clock.now)
-            self.store._txn(body)
-        self.store._rates = rates
-
-    async def _cancel_burst(self, fault: InjectedFault) -> None:
-        """Cancels several jobs at once, while the machines of two of them hang."""
-        running = sorted({task.name.split("/")[0] for _, task in self.world.on_machines()} - self._cancelled)
-        for job_id in running[:4]:
-            await curio.spawn(self._cancel, job_id, daemon=True)
-        for worker, task in list(self.world.on_machines()):
-            if task.name.split("/")[0] in running[:2]:
-                worker.hang_until = max(worker.hang_until, self.clock.now + fault.for_s)
-
     # Users
 
     async def run_user(self, planned: PlannedJob) -> None:
@@ -264,7 +144,7 @@
         if not await self._submit(job_id, body):
             return
         if planned.cancel_after_s is not None:
-            await curio.spawn(self._cancel, job_id, planned.cancel_after_s, daemon=True)
+            await curio.spawn(self.cancel_job, job_id, planned.cancel_after_s, daemon=True)
         repeat_at = self.clock.now + (planned.repeat_after_s or 1e9)
         await self._poll_all_controllers(job_id)
         while job_id not in self._final_states:
@@ -295,9 +175,10 @@
         elif status in (200, 201):
             self._check_answer(job_id, answer["standing"], before)
 
-    async def _cancel(self, job_id: str, after_s: float = 0.0) -> None:
+    async def cancel_job(self, job_id: str, after_s: float = 0.0) -> None:
+        """Requests the cancellation of a job after some seconds, until it is confirmed."""
         await curio.sleep(after_s)
-        self._cancelled.add(job_id)
+        self.cancelled.add(job_id)
         while True:
             before = self._final_states.get(job_id)
             status, answer = await self.users.ask("POST", f"/submissions/{job_id}/cancel", b"{}")
@@ -330,7 +211,7 @@
             self.problems.append(f"went_back: {job_id} was {before}, now {standing}")
         if standing == "done" and len(self.world.done.get(job_id, ())) < self.world.jobs[job_id]["legs"]:
             self.problems.append(f"not_done: {job_id} is called done with {len(self.world.done.get(job_id, ()))} tasks")
-        if standing == "aborted" and job_id not in self._cancelled:
+        if standing == "aborted" and job_id not in self.cancelled:
             self.problems.append(f"went_back: {job_id} is called aborted, and nobody cancelled it")
         if standing in FINAL:
             self._final_states.setdefault(job_id, standing)
@@ -345,11 +226,11 @@
             await curio.spawn(relay.run, daemon=True)
         await curio.spawn(self.watch_processes, daemon=True)
         started_at = self.clock.now
-        self._record("began", {"seed": self.plan.seed, "size": self.plan.size, "teams": self.settings.teams})
+        self.record_event("began", {"seed": self.plan.seed, "size": self.plan.size, "teams": self.settings.teams})
         items: list[tuple[float, Callable[..., Awaitable[None]], Any]] = [
             (j.at_s, self.run_user, j) for j in self.plan.jobs
         ]
-        items += [(t.at_s, self.inject_fault, t) for t in self.plan.faults]
+        items += [(t.at_s, self.faults.inject, t) for t in self.plan.faults]
         for at_s, action, item in sorted(items, key=lambda entry: entry[0]):
             await curio.sleep(max(0.0, started_at + at_s - self.clock.now))
             await curio.spawn(action, item, daemon=True)
@@ -359,7 +240,7 @@
         await self._settle()
 
     async def _settle(self) -> None:
-        await curio.sleep(max(0.0, self._faults_end_at - self.clock.now))
+        await curio.sleep(max(0.0, self.faults.end_at - self.clock.now))
         self.store.slow_pages.clear()
         deadline = self.clock.now + SETTLE_TIMEOUT_S
         while self._unfinished_jobs and self.clock.now < deadline:
@@ -373,7 +254,8 @@
         """Returns whether a planted fault has exceeded a team's limit, which ends the run early."""
         return self.planted is not None and any("quota" in text for text in self.world.checks.violations)
 
-    def _record(self, kind: str, detail: Any) -> None:
+    def record_event(self, kind: str, detail: Any) -> None:
+        """Adds an event to the timeline of the run."""
         self.timeline.append({"at": self.clock.now, "kind": kind, "detail": detail, "leader": self.leader()})
 
     def finish(self) -> list[str]:
