Reproduce the incident: answered direct commands arrive again

Cause: neither the model of owner and workers, nor the simulated network, nor the soak ever delivered a direct request twice that had been executed and answered. The records of the incident show one: a start under the token of before arrives 3.7 s after its answer, and after `forget`.

Change: CommandExchange.deliver_direct_copy, the scenario action `repeat-commands` and the soak's fault `repeated-commands`.

--- a/tests/sim/command_exchange.py
+++ b/tests/sim/command_exchange.py
@@ -1,8 +1,9 @@
 """A partition owner and workers, with a network that delays, reorders and loses what they exchange.
 
-Every message is delivered by an explicit call, in any order that the published protocol allows. The workers follow that
-protocol to the letter: they keep an attempt by its task and number, and start it again after they have forgotten it.
-Time does not pass by itself, so a lease ends only in `end_leases`. Each call returns whether it had an effect.
+Every message is delivered by an explicit call, in any order that the published protocol allows, and requests may arrive
+more than once. The workers follow that protocol to the letter: they keep an attempt by its task and number, and start
+it again after they have forgotten it. Time does not pass by itself, so a lease ends only in `end_leases`. Each call
+returns whether it had an effect.
 """
 
 from __future__ import annotations
@@ -59,6 +60,7 @@
     started: list[tuple[str, int]] = field(default_factory=list)
     heartbeat: Exchange | None = None  # the one in flight
     sent: list[wire.Heartbeat] = field(default_factory=list)
+    received: list[wire.DirectCommands] = field(default_factory=list)  # requests with direct commands, as they arrived
     direct: list[DirectExchange] = field(default_factory=list)  # not delivered yet, or without a delivered response
 
     def build_heartbeat(self) -> wire.Heartbeat:
@@ -243,15 +245,20 @@
         if not waiting:
             return False
         exchange = waiting[index % len(waiting)]
-        request = exchange.request
-        if request.fencing_token >= worker.token and request.incarnation == worker.incarnation:
-            worker.token = request.fencing_token
-            self._execute(worker, request.commands)
-        exchange.response = worker.build_heartbeat()
+        worker.received.append(exchange.request)
+        exchange.response = self._receive_direct(worker, exchange.request)
         if exchange.abandoned:
             worker.direct.remove(exchange)
         return True
 
+    def deliver_direct_copy(self, worker: Worker, index: int) -> bool:
+        """A request that has reached the worker before arrives once more; nobody receives the response."""
+        self._step()
+        if not worker.received:
+            return False
+        self._receive_direct(worker, worker.received[index % len(worker.received)])
+        return True
+
     def deliver_direct_response(self, worker: Worker) -> bool:
         """The response to direct commands reaches the owner."""
         self._step()
@@ -332,6 +339,13 @@
         machine = self.partition.machines[heartbeat.machine]
         return wire.HeartbeatResponse(self.partition.state.fencing_token(machine), commands)
 
+    def _receive_direct(self, worker: Worker, request: wire.DirectCommands) -> wire.Heartbeat:
+        """Executes a request unless its token or incarnation forbids it; returns the worker's status afterwards."""
+        if request.fencing_token >= worker.token and request.incarnation == worker.incarnation:
+            worker.token = request.fencing_token
+            self._execute(worker, request.commands)
+        return worker.build_heartbeat()
+
     def _execute(self, worker: Worker, commands: list[wire.Command]) -> None:
         for task in worker.execute(commands):
             others = [other for other in self.workers if other is not worker]
--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -84,6 +84,8 @@
         self.submitted: dict[str, float] = {}
         self.random = Random(1)
         self.late_heartbeats_until, self.late_heartbeats_share, self.late_heartbeats = 0.0, 0.0, 0
+        self.repeated_commands_until, self.repeated_commands_share, self.repeated_commands = 0.0, 0.0, 0
+        self.repeated_commands_within_s = 0.0
         self.ended_jobs: list[str] = []  # jobs whose last task has ended since the list was last emptied
 
     def worker_address(self, number: int) -> str:
@@ -206,6 +208,14 @@
             await curio.sleep(60)
         if request.target == "/status":
             return json_response(200, self.heartbeat())
+        response = self._execute_direct(request)
+        world = self.world
+        if world.clock.now < world.repeated_commands_until and world.random.random() < world.repeated_commands_share:
+            await curio.spawn(self._execute_again, request, daemon=True)
+        return response
+
+    def _execute_direct(self, request: Request) -> Response:
+        """Executes direct commands, unless the token or the incarnation of the request forbids it."""
         body = json.loads(request.body)
         if body["baton"] < self.token or body["tenure"] != self.incarnation:
             return json_response(409, self.heartbeat())
@@ -213,6 +223,16 @@
         self.execute(body["orders"])
         return json_response(200, self.heartbeat())
 
+    async def _execute_again(self, request: Request) -> None:
+        """Receives a copy of direct commands that were answered, at most `repeated_commands_within_s` later."""
+        await curio.sleep(self.world.repeated_commands_within_s * self.world.random.random())
+        while self.world.clock.now < self.hang_until:
+            await curio.sleep(0.1)
+        self.step()
+        if self.up:
+            self.world.repeated_commands += 1
+            self._execute_direct(request)
+
     def _raise_token(self, token: int) -> None:
         if token > self.token:
             self.token, self.changed = token, True
--- a/tests/sim/scenario_actions.py
+++ b/tests/sim/scenario_actions.py
@@ -29,6 +29,8 @@
                                              seconds apart, at their original receivers or at NODE
     late-reports for= share=                 of this share of heartbeats, a copy arrives from 2 s to 2 s and 1.5 leases
                                              later
+    repeat-commands for= share= within=      of this share of direct commands that a machine has answered, a copy
+                                             arrives at most `within` seconds later
     die MACHINE                              the machine fails for good, with all its tasks
     hang MACHINE for=                        the machine neither executes nor responds, and then resumes
     reboot MACHINE                           the worker restarts at once in a new incarnation, without tasks
@@ -185,6 +187,11 @@
     run.world.late_heartbeats_until, run.world.late_heartbeats_share = _end(run, opts), float(opts["share"])
 
 
+async def _repeat_commands(run: ScenarioRun, _args: list[str], opts: Options) -> None:
+    run.world.repeated_commands_until, run.world.repeated_commands_share = _end(run, opts), float(opts["share"])
+    run.world.repeated_commands_within_s = float(opts["within"])
+
+
 # Machines
 
 
@@ -288,6 +295,7 @@
     "slow-responses": _slow_responses,
     "copies": _copies,
     "late-reports": _late_reports,
+    "repeat-commands": _repeat_commands,
     "die": _die,
     "hang": _hang,
     "reboot": _reboot,
--- a/tests/sim/scenario_checks.py
+++ b/tests/sim/scenario_checks.py
@@ -34,6 +34,7 @@
     leaders N                 N leaders were killed by `kill-leader`
     late-writes N M           at least N late transactions were committed, and at least M were refused
     late-reports N            at least N late copies of heartbeats arrived
+    repeated-commands N       at least N copies of answered direct commands arrived
     repeated PREFIX N         at least N transactions that created a key with this prefix were repeated
     throttled N               at most N requests were over the rate limits of the state service
     empty PREFIX              the state service has no key with this prefix
@@ -163,6 +164,8 @@
         return scenario_run.store.late_applied >= int(args[0]) and scenario_run.store.late_refused >= int(args[1])
     if kind == "late-reports":
         return scenario_run.world.late_heartbeats >= int(args[0])
+    if kind == "repeated-commands":
+        return scenario_run.world.repeated_commands >= int(args[0])
     if kind == "leaders":
         return scenario_run.leaders_ended == int(args[0])
     if kind == "repeated":
--- a/tests/sim/soak_faults.py
+++ b/tests/sim/soak_faults.py
@@ -17,7 +17,8 @@
     from tests.sim.soak import Soak
 
 SLOW_READ_S, SLOW_PAGE_S = 0.4, 0.6
-LATE_SHARE = 0.4  # of transactions and heartbeats
+LATE_SHARE = 0.4  # of transactions, heartbeats, and direct commands that are repeated
+REPEATED_COMMAND_LEASES = 1.5  # longest delay of a copy of direct commands, in lease durations
 MAX_LOST_ANSWERS_S = 1.5
 MAX_REPEATED_TRANSACTIONS = 200  # the latest ones
 LEADERS_IN_SERIES = 4  # leaders that are killed one after the other
@@ -62,6 +63,7 @@
             "machine-dies": self._fail_machine,
             "late-reports": self._late_heartbeats,
             "late-commands": self._late_commands,
+            "repeated-commands": self._repeat_commands,
             "cancel-burst": self._cancel_burst,
         }
 
@@ -213,6 +215,13 @@
         self._run.links.late_commands_until = self._until(fault)
         self._extend(self._until(fault) + LATE_COMMAND_S[1])
 
+    async def _repeat_commands(self, fault: InjectedFault) -> None:
+        world = self._run.world
+        within_s = REPEATED_COMMAND_LEASES * self._run.settings.lease_s
+        world.repeated_commands_until, world.repeated_commands_share = self._until(fault), LATE_SHARE
+        world.repeated_commands_within_s = within_s
+        self._extend(self._until(fault) + within_s)
+
     async def _cancel_burst(self, fault: InjectedFault) -> None:
         """Cancels several jobs at once, while the machines of two of them hang."""
         world = self._run.world
--- a/tests/sim/soak_plan.py
+++ b/tests/sim/soak_plan.py
@@ -30,6 +30,7 @@
     "machine-dies",
     "late-reports",
     "late-commands",
+    "repeated-commands",
     "late-responses",
     "cancel-burst",
     "leaders-in-series",
