Forget an attempt only by a message whose token rejects its starts

What callers saw: a task of a job that had been cancelled 2 s before, or an attempt that had been preempted and moved, ran again on its former machine.

Cause: the owner took the answer to a direct request for proof that nothing of it can take effect later, and let the worker forget the attempt. The worker executes a copy of the request as long as it has received no higher token, and after `forget` it doesn't know the attempt any more. Class: an action on stale knowledge, a fence that was raised on one path (no answer) and not on the other (an answer). Absence of a cancelled attempt was concluded in the same way.

Change: one proof, `rejects_start`: a token above that of every message with a start of the attempt. `forget` goes only in a message with such a token (the worker compares the token before it executes), and an attempt that a message doesn't list counts as absent only if the message carries such a token. The token is raised in heartbeat responses alone: the worker has one heartbeat in flight, so no response is dropped for a token that has overtaken it. Former bookkeeping goes: commands in flight as a proof, fence_below_token, start_in_response, start_sent_seq, the raised token after an unanswered request.

Why it works: copies before `forget` have no effect, as the worker knows the attempt; copies after it carry a lower token than the message with `forget`. It doesn't depend on answers, on time, or on the number of copies.

--- a/spurarch/coordination/partition/command_sender.py
+++ b/spurarch/coordination/partition/command_sender.py
@@ -104,7 +104,7 @@
             status, body = await client.request("POST", wire.PATH_COMMANDS, wire.encode(request), RESPONSE_TIMEOUT_S)
         except NoAnswerError as err:
             log.debug("direct command unanswered machine=%s error=%s", machine.name, err)
-            partition.direct_commands.on_failure(machine, request, err.may_be_sent)
+            partition.direct_commands.on_failure(machine)
             return
         heartbeat = None
         if status in (200, 409):
--- a/spurarch/coordination/partition/commands.py
+++ b/spurarch/coordination/partition/commands.py
@@ -3,9 +3,17 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterable, Sequence
 
 from spurarch.coordination.partition.ended_attempts import CommandPath
-from spurarch.coordination.partition.machine import AttemptPhase, Machine, MachineState, TaskAttempt
+from spurarch.coordination.partition.machine import (
+    AttemptPhase,
+    ExitedAttempt,
+    Machine,
+    MachineState,
+    TaskAttempt,
+    rejects_start,
+)
 from spurarch.coordination.partition.state import ArchiveCoverage, PartitionContext, PartitionState
 from spurarch.protocol import wire
 from spurarch.storage.records import TaskKey
@@ -22,7 +30,9 @@
     def __init__(self, state: PartitionState, context: PartitionContext) -> None:
         self._state, self._context = state, context
 
-    def plan(self, machine: Machine, heartbeat: wire.Heartbeat | None) -> list[wire.Command]:
+    def plan(
+        self, machine: Machine, heartbeat: wire.Heartbeat | None, absent: Sequence[TaskAttempt] = ()
+    ) -> list[wire.Command]:
         """Returns the commands that the worker needs now, and moves ASSIGNED attempts that are started to STARTING.
 
         With a heartbeat, it also limits `machine.exits_to_forget` to the exits that the heartbeat lists. All commands
@@ -32,16 +42,21 @@
         Args:
             machine: The worker's machine.
             heartbeat: The heartbeat that is answered, or None for direct commands.
+            absent: Attempts to be stopped that the heartbeat doesn't list, and that the worker could still start.
         """
-        out: list[wire.Command] = []
         path = CommandPath.DIRECT if heartbeat is None else CommandPath.HEARTBEAT_RESPONSE
-        if machine.starts_settled:
-            forget = machine.exits_to_forget
-            if self._context.coverage is not None:
-                forget = self._forgettable_exits(machine, self._context.coverage)
-            out += [self._forget(machine, wire.task_name(*key), attempt, path) for key, attempt in forget.items()]
+        unrecorded = self._unrecorded_tasks(machine, heartbeat) if heartbeat is not None else []
+        exits = self._exits_to_forget(machine, unrecorded)
         if heartbeat is not None:
-            out += self._stops_for_unrecorded(machine, heartbeat)
+            self._reject_starts(machine, [*exits, *absent])
+        out = [
+            self._forget(machine, exited, path)
+            for exited in exits
+            if rejects_start(machine.token_counter, exited.start_token_counter)
+        ]
+        out += [
+            wire.Command(wire.STOP, task.task, task.attempt, 0.0) for task in unrecorded if task.state != wire.EXITED
+        ]
         for attempt in machine.attempts.values():
             if attempt.stop_requested:
                 if attempt.phase < AttemptPhase.EXITED and not self._is_checkpointing(attempt):
@@ -52,6 +67,7 @@
                 and self._may_start(attempt)
             ):
                 self._state.transition(attempt, AttemptPhase.STARTING)
+                machine.start_planned(attempt)
                 out.append(wire.Command(wire.START, wire.task_name(*attempt.key), attempt.number))
         if out and log.isEnabledFor(logging.DEBUG):
             self._log_planned(machine, path, out)
@@ -68,13 +84,34 @@
             ",".join(texts),
         )
 
-    def _forget(self, machine: Machine, task: str, attempt: int, path: CommandPath) -> wire.Command:
-        self._state.ended_attempts.forget_planned(machine.name, task, attempt, path)
-        return wire.Command(wire.FORGET, task, attempt)
+    def _reject_starts(self, machine: Machine, attempts: Iterable[ExitedAttempt | TaskAttempt]) -> None:
+        """Raises the token, if needed, so that the worker rejects all earlier start commands for the attempts.
+
+        Tokens are raised only in heartbeat responses. The worker has a single heartbeat in flight, so that it drops no
+        response because a message with a higher token has overtaken it, and its lease is renewed. The response also
+        repeats the direct commands that the worker rejects if it overtakes them.
+        """
+        if not all(rejects_start(machine.token_counter, attempt.start_token_counter) for attempt in attempts):
+            machine.token_counter = self._state.next_token_counter()
+
+    def _forget(self, machine: Machine, exited: ExitedAttempt, path: CommandPath) -> wire.Command:
+        self._state.ended_attempts.forget_planned(machine.name, exited.task, exited.number, path)
+        return wire.Command(wire.FORGET, exited.task, exited.number)
+
+    def _exits_to_forget(self, machine: Machine, unrecorded: Iterable[wire.TaskStatus]) -> list[ExitedAttempt]:
+        """Returns the exited attempts that the worker need not list any more."""
+        exits = machine.exits_to_forget
+        if self._context.coverage is not None:
+            exits = self._archived_exits(machine, self._context.coverage)
+        return [*exits.values()] + [
+            ExitedAttempt(task.task, task.attempt, machine.start_token_counter)
+            for task in unrecorded
+            if task.state == wire.EXITED
+        ]
 
     @staticmethod
-    def _forgettable_exits(machine: Machine, coverage: ArchiveCoverage) -> dict[TaskKey, int]:
-        """Returns the exited tasks that the worker may forget, with their attempt numbers.
+    def _archived_exits(machine: Machine, coverage: ArchiveCoverage) -> dict[TaskKey, ExitedAttempt]:
+        """Returns those of `machine.exits_to_forget` that need not wait for the archive.
 
         If the state service loses its data, a recorded exit is lost too. Until the archive covers the record, the
         worker's heartbeats are the only other evidence of the exit. A worker keeps at most `MAX_UNARCHIVED_EXITS` such
@@ -88,7 +125,7 @@
             if key in machine.exits_to_forget and not coverage.covers(revision)
         ]
         machine.unarchived_exits = dict(unarchived[-MAX_UNARCHIVED_EXITS:])
-        return {key: attempt for key, attempt in machine.exits_to_forget.items() if key not in machine.unarchived_exits}
+        return {key: exited for key, exited in machine.exits_to_forget.items() if key not in machine.unarchived_exits}
 
     def _is_checkpointing(self, attempt: TaskAttempt) -> bool:
         """Whether a task being stopped still has time to checkpoint, so that its stop need not be repeated.
@@ -129,25 +166,25 @@
             and self._context.time_since_cancellation(key[0]) is not None
         ]
 
-    def _stops_for_unrecorded(self, machine: Machine, heartbeat: wire.Heartbeat) -> list[wire.Command]:
-        """Returns stops and forgets for the listed tasks that no record assigns to this machine.
+    @staticmethod
+    def _unrecorded_tasks(machine: Machine, heartbeat: wire.Heartbeat) -> list[wire.TaskStatus]:
+        """Returns the listed tasks that no record assigns to this machine.
 
-        Exited tasks in `machine.exits_to_forget` are left out, since `plan` handles them; entries of that table that
-        the heartbeat no longer lists are removed.
+        Exited tasks in `machine.exits_to_forget` are left out; entries of that table that the heartbeat no longer lists
+        are removed.
         """
-        out: list[wire.Command] = []
-        listed: dict[TaskKey, int] = {}
+        out: list[wire.TaskStatus] = []
+        listed: dict[TaskKey, ExitedAttempt] = {}
         for task in heartbeat.tasks:
             key = wire.split_task(task.task)
             attempt = machine.attempts.get(key) if key else None
             if attempt is not None and attempt.number == task.attempt:
                 continue
-            if key and machine.exits_to_forget.get(key) == task.attempt:
-                listed[key] = task.attempt
-            elif task.state != wire.EXITED:
-                out.append(wire.Command(wire.STOP, task.task, task.attempt, 0.0))
-            elif machine.starts_settled:
-                out.append(self._forget(machine, task.task, task.attempt, CommandPath.HEARTBEAT_RESPONSE))
+            exited = machine.exits_to_forget.get(key) if key else None
+            if key and exited is not None and exited.number == task.attempt:
+                listed[key] = exited
+            else:
+                out.append(task)
         machine.exits_to_forget = listed
         return out
 
--- a/spurarch/coordination/partition/direct_commands.py
+++ b/spurarch/coordination/partition/direct_commands.py
@@ -24,15 +24,11 @@
     def next_request(self, machine: Machine) -> wire.DirectCommands | None:
         """Returns a request with the commands to send now and counts it as in flight; None if there is nothing to send.
 
-        Before the partition's records are read, and while earlier commands can still take effect, it holds only stops
-        without a grace period.
+        Before the partition's records are read, it holds only stops without a grace period.
         """
         if machine.state is not MachineState.ACTIVE or machine.commands_in_flight or not machine.addr:
             return None
-        if self._state.records_read and machine.late_commands_fenced:
-            commands = self._commands.plan(machine, None)
-        else:
-            commands = self._immediate_stops(machine)
+        commands = self._commands.plan(machine, None) if self._state.records_read else self._immediate_stops(machine)
         if not commands:
             return None
         machine.commands_in_flight += 1
@@ -40,11 +36,7 @@
 
     @staticmethod
     def _immediate_stops(machine: Machine) -> list[wire.Command]:
-        """Returns the stops without a grace period, which are sent even while earlier commands can still take effect.
-
-        A machine whose heartbeats do not arrive does not acknowledge the higher token that rules out late commands, but
-        its cancelled tasks must be stopped all the same.
-        """
+        """Returns the stops without a grace period, as of the tasks of cancelled jobs."""
         return [
             wire.Command(wire.STOP, wire.task_name(*attempt.key), attempt.number, 0.0)
             for attempt in machine.attempts.values()
@@ -56,7 +48,7 @@
     ) -> None:
         """Applies the response to a request.
 
-        It proves that the worker has executed or refused the commands, so they cannot take effect later.
+        It shows the state after the commands, but a copy of the request can still arrive and be executed.
 
         Args:
             machine: The worker's machine.
@@ -70,8 +62,6 @@
         for command in sent.commands:
             key = wire.split_task(command.task)
             attempt = machine.attempts.get(key) if key else None
-            if attempt is not None and command.op == wire.START and heartbeat.incarnation == machine.incarnation:
-                attempt.start_sent_seq = max(attempt.start_sent_seq, heartbeat.seq)
             executed = heartbeat.incarnation == sent.incarnation and heartbeat.fencing_token <= sent.fencing_token
             if attempt is not None and command.op == wire.STOP and executed and attempt.number == command.attempt:
                 attempt.stop_acknowledged_at = now
@@ -79,20 +69,7 @@
         self._statuses.apply(machine, heartbeat, now)
         self._stops.stop_gang_members()
 
-    def on_failure(self, machine: Machine, sent: wire.DirectCommands, may_have_arrived: bool) -> None:
-        """Handles a request that got no response.
-
-        Commands that were possibly sent can still arrive minutes later. The machine therefore gets a higher fencing
-        token; once the worker has acknowledged it, it rejects those commands. Commands to an earlier incarnation need
-        no new token, since the worker rejects them in any case.
-
-        Args:
-            machine: The worker's machine.
-            sent: The request.
-            may_have_arrived: False only if the request certainly did not leave this process.
-        """
+    @staticmethod
+    def on_failure(machine: Machine) -> None:
+        """Handles a request that got no response; its commands can still arrive minutes later."""
         machine.commands_in_flight -= 1
-        if may_have_arrived and machine.incarnation == sent.incarnation:
-            if machine.token_counter <= sent.fencing_token - self._state.lowest_token:
-                machine.token_counter = self._state.next_token_counter()
-            machine.fence_below_token = max(machine.fence_below_token, sent.fencing_token + 1)
--- a/spurarch/coordination/partition/heartbeats.py
+++ b/spurarch/coordination/partition/heartbeats.py
@@ -6,7 +6,13 @@
 
 from spurarch.coordination.partition.commands import CommandPlanner
 from spurarch.coordination.partition.ended_attempts import EndProof
-from spurarch.coordination.partition.machine import AttemptPhase, Machine, MachineState
+from spurarch.coordination.partition.machine import (
+    AttemptPhase,
+    Machine,
+    MachineState,
+    TaskAttempt,
+    rejects_start,
+)
 from spurarch.coordination.partition.state import PartitionState
 from spurarch.coordination.partition.statuses import StatusUpdater
 from spurarch.coordination.partition.stopping import StopRequests
@@ -63,7 +69,6 @@
             return None
         if machine.has_applied(heartbeat):
             return []  # a duplicate or older heartbeat, but the worker possibly still waits for a response
-        machine.start_in_response = False  # the worker sends no heartbeat while it still waits for a response
         self._statuses.apply(machine, heartbeat, now)
         self._probe_acknowledgement(machine, now)
         if not may_command or machine.state is not MachineState.ACTIVE:
@@ -76,14 +81,9 @@
 
     def _plan_commands(self, machine: Machine, heartbeat: wire.Heartbeat) -> list[wire.Command]:
         """Returns the commands for the response to a heartbeat that was applied."""
-        self._mark_absent_as_gone(machine, heartbeat)
+        absent = self._absent_attempts(machine, heartbeat)
         self._stops.stop_gang_members()
-        commands = self._commands.plan(machine, heartbeat)
-        machine.start_in_response = any(command.op == wire.START for command in commands)
-        for attempt in machine.attempts.values():
-            if attempt.phase is AttemptPhase.STARTING:
-                attempt.start_sent_seq = heartbeat.seq
-        return commands
+        return self._commands.plan(machine, heartbeat, absent)
 
     def _accepted_machine(self, heartbeat: wire.Heartbeat) -> Machine | None:
         """Returns the sender's machine, which is added if it is new; returns None if the heartbeat is rejected.
@@ -140,12 +140,22 @@
         if machine.state is MachineState.UNCONFIRMED and machine.token_offered_at is None:
             machine.token_offered_at = now
 
-    def _mark_absent_as_gone(self, machine: Machine, heartbeat: wire.Heartbeat) -> None:
-        """Marks tasks to be stopped as gone if the worker does not list them and no start command can still arrive."""
-        stopping = [attempt for attempt in machine.attempts.values() if attempt.stop_requested]
-        if not stopping or not machine.starts_settled:
-            return
+    def _absent_attempts(self, machine: Machine, heartbeat: wire.Heartbeat) -> list[TaskAttempt]:
+        """Marks attempts to be stopped as gone if the worker doesn't list them and rejects their start commands.
+
+        Returns the attempts to be stopped that it doesn't list either, but could still start.
+        """
+        stopping = [
+            attempt
+            for attempt in machine.attempts.values()
+            if attempt.stop_requested and attempt.phase < AttemptPhase.EXITED
+        ]
+        if not stopping:
+            return []
+        counter = heartbeat.fencing_token - self._state.lowest_token
         listed = {wire.split_task(task.task) for task in heartbeat.tasks}
-        for attempt in stopping:
-            if attempt.key not in listed and heartbeat.seq > attempt.start_sent_seq:
+        absent = [attempt for attempt in stopping if attempt.key not in listed]
+        for attempt in absent:
+            if rejects_start(counter, attempt.start_token_counter):
                 self._state.mark_gone(attempt, EndProof.NOT_LISTED)
+        return [attempt for attempt in absent if attempt.phase < AttemptPhase.EXITED]
--- a/spurarch/coordination/partition/machine.py
+++ b/spurarch/coordination/partition/machine.py
@@ -16,6 +16,8 @@
 import enum
 from dataclasses import dataclass, field
 
+from msgspec import Struct
+
 from spurarch.protocol import wire
 from spurarch.storage.records import AllocationKey, TaskKey
 
@@ -75,8 +77,7 @@
         assigned_at: When this owner first read the assignment, not when the assignment was decided.
         stop_acknowledged_at: When the worker's response to direct commands confirmed a stop command.
         running_at: When its phase last became RUNNING, by a message of the worker.
-        start_sent_seq: Sequence number of the newest worker message that was possibly sent before the start command
-            arrived. Only later messages that do not list the task prove that it is not on the machine.
+        start_token_counter: At least as high as the token counter of every message that carried a start command for it.
         terminated_at: When its exit or absence was proved.
         job_cancelled_at: When its job was cancelled; None if no cancellation has been observed.
     """
@@ -92,7 +93,7 @@
     stop_requested: bool = False
     grace_s: float = 0.0
     stop_acknowledged_at: float | None = None
-    start_sent_seq: int = -1
+    start_token_counter: int = 0
     running_at: float | None = None
     terminated_at: float = 0.0
     job_cancelled_at: float | None = None
@@ -112,6 +113,33 @@
         return True
 
 
+class ExitedAttempt(Struct):
+    """An attempt that its worker still lists as exited; `start_token_counter` is as in `TaskAttempt`."""
+
+    task: str
+    number: int
+    start_token_counter: int
+
+
+def rejects_start(token_counter: int, start_token_counter: int) -> bool:
+    """Whether a worker that has received one token rejects a start command that was sent with another.
+
+    A worker executes direct commands, however late or often they arrive, while it has received no higher token, and it
+    drops a heartbeat response with a lower token. So a higher token is the only proof that a start command cannot take
+    effect any more. An answer to the command proves nothing, as a copy of the command can still arrive; nor does the
+    absence of unanswered commands, or any length of time. Commands to an earlier incarnation are always rejected.
+
+    A worker may be told to forget an attempt by a message whose token rejects the attempt's start, since it compares
+    the token before it executes the commands. A worker's message that carries such a token and does not list the
+    attempt proves that the attempt is not on the machine and never will be.
+
+    Args:
+        token_counter: Counter of the fencing token that the worker has received.
+        start_token_counter: Counter of the newest message that carried the start command.
+    """
+    return token_counter > start_token_counter
+
+
 class MachineState(enum.Enum):
     """State of a machine, as established by this owner."""
 
@@ -145,20 +173,15 @@
             ones.
         acknowledged_token_counter: The highest counter that it has acknowledged, by a message that carries it.
         token_offered_at: Since when an acknowledgement of the counter in heartbeat responses is awaited, to find out
-            whether the responses arrive; None while none is awaited. A counter that is raised only to fence late direct
-            commands doesn't set it.
+            whether the responses arrive; None while none is awaited. A counter that is raised only to have the worker
+            reject start commands doesn't set it.
         token_acknowledged_at: When it last acknowledged a higher counter, which only this owner can have sent to it.
         responses_lost: Its heartbeats arrive, but it does not acknowledge the token in the heartbeat responses.
-        fence_below_token: Direct commands with a lower fencing token can still arrive and take effect until the worker
-            has acknowledged a token at least as high.
-        highest_token_seen: The highest fencing token that its messages have carried.
+        start_token_counter: The highest counter of a message to it that carried a start command.
         commands_in_flight: Requests with direct commands that have no response yet.
-        start_in_response: The newest heartbeat response carries a start command. The worker has a single heartbeat in
-            flight, so only its next heartbeat shows that the response was executed or dropped; until then, direct
-            commands can overtake the response.
         last_heartbeat_at: When its newest message was received.
         termination_notice_until: When the cloud terminates the machine; None without a termination notice.
-        exits_to_forget: Attempt numbers of exited tasks that the worker need not list any more, by task.
+        exits_to_forget: Exited attempts that the worker need not list any more, by task.
         unarchived_exits: By task of `exits_to_forget`, the revision that has to be archived before the worker may
             forget the exit.
         cached_images: Images of tasks that have run on it.
@@ -191,14 +214,12 @@
     token_offered_at: float | None = None
     token_acknowledged_at: float | None = None
     responses_lost: bool = False
-    fence_below_token: int = 0
-    highest_token_seen: int = 0
+    start_token_counter: int = 0
     commands_in_flight: int = 0
-    start_in_response: bool = False
     last_heartbeat_at: float | None = None
     termination_notice_until: float | None = None
     attempts: dict[TaskKey, TaskAttempt] = field(default_factory=dict)
-    exits_to_forget: dict[TaskKey, int] = field(default_factory=dict)
+    exits_to_forget: dict[TaskKey, ExitedAttempt] = field(default_factory=dict)
     unarchived_exits: dict[TaskKey, int] = field(default_factory=dict)
     cached_images: set[int] = field(default_factory=set)
     idle_since: float | None = None
@@ -223,12 +244,11 @@
         """Whether this message of the worker, or a newer one, has been applied."""
         return (heartbeat.incarnation, heartbeat.seq) <= (self.incarnation, self.heartbeat_seq)
 
-    def acknowledge(self, fencing_token: int, counter: int, now: float) -> None:
-        """Records the token of a worker's message.
+    def acknowledge(self, counter: int, now: float) -> None:
+        """Records the token counter of a worker's message.
 
-        A higher token than before proves that the worker received a heartbeat response or direct commands with it.
+        A higher counter than before proves that the worker received a heartbeat response or direct commands with it.
         """
-        self.highest_token_seen = max(self.highest_token_seen, fencing_token)
         if counter > self.acknowledged_token_counter:
             self.acknowledged_token_counter = counter
             self.token_acknowledged_at = now
@@ -247,18 +267,9 @@
             times.append(self.unconfirmed_cancellation_at)
         return min(times, default=None)
 
-    @property
-    def late_commands_fenced(self) -> bool:
-        """Whether no direct command that got no response can still take effect."""
-        return self.commands_in_flight == 0 and self.highest_token_seen >= self.fence_below_token
-
-    @property
-    def starts_settled(self) -> bool:
-        """Whether no start command that was sent can still take effect: neither a direct one, nor one in a response.
-
-        The worker may forget an attempt only then, since a start command that arrives later would run it again.
-        """
-        return self.late_commands_fenced and not self.start_in_response
+    def start_planned(self, attempt: TaskAttempt) -> None:
+        """Notes that a message with the current token carries a start command for the attempt."""
+        attempt.start_token_counter = self.start_token_counter = self.token_counter
 
     def is_schedulable(self, now: float) -> bool:
         """Whether it may be assigned new tasks.
--- a/spurarch/coordination/partition/record_follower.py
+++ b/spurarch/coordination/partition/record_follower.py
@@ -14,7 +14,7 @@
 )
 from spurarch.coordination.partition.ended_attempts import EndProof
 from spurarch.coordination.partition.failures import FailureAttribution
-from spurarch.coordination.partition.machine import AttemptPhase, MachineState, TaskAttempt
+from spurarch.coordination.partition.machine import AttemptPhase, ExitedAttempt, MachineState, TaskAttempt
 from spurarch.coordination.partition.state import PartitionContext, PartitionState
 from spurarch.coordination.partition.stopping import StopRequests
 from spurarch.protocol import wire
@@ -151,7 +151,9 @@
         self._state.remove_attempt(attempt)
         machine = self._state.machines.get(attempt.machine)
         if machine is not None and attempt.phase is AttemptPhase.EXITED:
-            machine.exits_to_forget[attempt.key] = attempt.number
+            machine.exits_to_forget[attempt.key] = ExitedAttempt(
+                wire.task_name(*attempt.key), attempt.number, attempt.start_token_counter
+            )
             if self._coverage is not None and attempt.exit_reason == wire.REASON_DONE:
                 machine.unarchived_exits[attempt.key] = self._coverage.recorded_revision()
 
--- a/spurarch/coordination/partition/state.py
+++ b/spurarch/coordination/partition/state.py
@@ -144,6 +144,8 @@
 
     def add_attempt(self, attempt: TaskAttempt, machine: Machine) -> None:
         """Adds an attempt that the records assign to the machine."""
+        # This owner may have sent a start for it before, if the records did not assign it in between.
+        attempt.start_token_counter = machine.start_token_counter
         self.attempts_by_allocation[attempt.allocation][attempt.index] = attempt
         self.attempts[attempt.key] = machine.attempts[attempt.key] = attempt
         gang = self.gangs.get(attempt.allocation.job)
--- a/spurarch/coordination/partition/statuses.py
+++ b/spurarch/coordination/partition/statuses.py
@@ -56,7 +56,7 @@
         machine.incarnation, machine.heartbeat_seq = heartbeat.incarnation, heartbeat.seq
         machine.last_heartbeat_at = now
         machine.type, machine.spot, machine.addr = heartbeat.type, heartbeat.spot, heartbeat.addr
-        machine.acknowledge(heartbeat.fencing_token, heartbeat.fencing_token - lowest_token, now)
+        machine.acknowledge(heartbeat.fencing_token - lowest_token, now)
         if machine.transition(MachineState.ACTIVE):
             state.capacity_added_at = now
             state.scheduling_triggers += 1
@@ -77,8 +77,6 @@
             if attempt.incarnation < incarnation:
                 self._state.mark_gone(attempt, EndProof.INCARNATION_ENDED)
         machine.exits_to_forget.clear()
-        # Workers reject commands to an earlier incarnation, and drop responses to its heartbeats.
-        machine.fence_below_token, machine.start_in_response = 0, False
         machine.unconfirmed_cancellation_at = None
 
     def _apply_task(self, machine: Machine, task: wire.TaskStatus, now: float) -> None:
--- a/tests/sim/command_exchange.py
+++ b/tests/sim/command_exchange.py
@@ -277,7 +277,7 @@
             if not exchange.abandoned:
                 exchange.abandoned = True
                 machine = self.partition.machines[worker.name]
-                self.partition.direct_commands.on_failure(machine, exchange.request, True)
+                self.partition.direct_commands.on_failure(machine)
                 if exchange.response is not None:
                     worker.direct.remove(exchange)
                 return True
--- a/tests/sim/command_walk.py
+++ b/tests/sim/command_walk.py
@@ -43,6 +43,7 @@
     "deliver copy": Action(1, on_message(CommandExchange.deliver_copy)),
     "send direct commands": Action(1, on_worker(CommandExchange.send_direct)),
     "deliver direct commands": Action(4, on_message(CommandExchange.deliver_direct)),
+    "deliver direct copy": Action(2, on_message(CommandExchange.deliver_direct_copy)),
     "deliver direct response": Action(4, on_worker(CommandExchange.deliver_direct_response)),
     "abandon direct commands": Action(1, on_worker(CommandExchange.abandon_direct)),
     "exchange direct commands": Action(15, on_worker(CommandExchange.exchange_direct)),
--- a/tests/test_late_commands.py
+++ b/tests/test_late_commands.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from spurarch.coordination.partition import commands
 from spurarch.coordination.partition.machine import MachineState
 from spurarch.protocol import wire
 from tests.sim.command_exchange import LEASE_S, CommandExchange, Worker
@@ -132,3 +133,10 @@
     for seed in range(start, start + (MORE or WALKS) // PARTS):
         walk = Walk(seed)
         assert walk.run(STEPS) == [], (seed, walk.taken)
+
+
+def test_the_walks_find_a_worker_that_is_told_to_forget_under_the_token_of_the_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(commands, "rejects_start", lambda *_counters: True)
+    assert any(Walk(seed).run(STEPS) for seed in range(200))
