Log the path and the token of the start and the forget of a revived attempt

Cause: `ended attempt runs again` named the path of `forget` only. The records of the incident could not tell whether the start that took effect again was direct, and whether a token could have rejected it: that took the workers' side.

Change: the line has the worker's highest token, and path and token of the newest start and of the first forget. At debug level, `commands planned` has its token, `fencing token raised` and `direct commands rejected` are new. The test compares the whole line, as before.

--- a/spurarch/coordination/partition/command_sender.py
+++ b/spurarch/coordination/partition/command_sender.py
@@ -21,6 +21,7 @@
 
 log = logging.getLogger(__name__)
 
+OK, CONFLICT = 200, 409  # executed; rejected for the fencing token or the incarnation
 RESPONSE_TIMEOUT_S = 4.0
 SOCKETS_PER_WORKER_CONNECTION = 8  # one of this many sockets is for a connection to a worker
 MIN_WORKER_CONNECTIONS, MAX_WORKER_CONNECTIONS = 8, 150
@@ -107,7 +108,9 @@
             partition.direct_commands.on_failure(machine)
             return
         heartbeat = None
-        if status in (200, 409):
+        if status == CONFLICT:
+            log.debug("direct commands rejected machine=%s token=%d", machine.name, request.fencing_token)
+        if status in (OK, CONFLICT):
             try:
                 heartbeat = wire.heartbeat_decoder.decode(body)
             except msgspec.DecodeError as err:
--- a/spurarch/coordination/partition/commands.py
+++ b/spurarch/coordination/partition/commands.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Iterable, Sequence
 
-from spurarch.coordination.partition.ended_attempts import CommandPath
+from spurarch.coordination.partition.ended_attempts import CommandPath, SentCommand
 from spurarch.coordination.partition.machine import (
     AttemptPhase,
     ExitedAttempt,
@@ -67,19 +67,19 @@
                 and self._may_start(attempt)
             ):
                 self._state.transition(attempt, AttemptPhase.STARTING)
-                machine.start_planned(attempt)
+                machine.start_planned(attempt, path)
                 out.append(wire.Command(wire.START, wire.task_name(*attempt.key), attempt.number))
         if out and log.isEnabledFor(logging.DEBUG):
             self._log_planned(machine, path, out)
         return out
 
-    @staticmethod
-    def _log_planned(machine: Machine, path: CommandPath, commands: list[wire.Command]) -> None:
+    def _log_planned(self, machine: Machine, path: CommandPath, commands: list[wire.Command]) -> None:
         texts = [f"{command.op}:{command.task}:{command.attempt}" for command in commands]
         log.debug(
-            "commands planned machine=%s path=%s sequence=%d commands=%s",
+            "commands planned machine=%s path=%s token=%d sequence=%d commands=%s",
             machine.name,
             path.value,
+            self._state.fencing_token(machine),
             machine.heartbeat_seq,
             ",".join(texts),
         )
@@ -93,9 +93,11 @@
         """
         if not all(rejects_start(machine.token_counter, attempt.start_token_counter) for attempt in attempts):
             machine.token_counter = self._state.next_token_counter()
+            log.debug("fencing token raised machine=%s token=%d", machine.name, self._state.fencing_token(machine))
 
     def _forget(self, machine: Machine, exited: ExitedAttempt, path: CommandPath) -> wire.Command:
-        self._state.ended_attempts.forget_planned(machine.name, exited.task, exited.number, path)
+        sent = SentCommand(path, self._state.fencing_token(machine))
+        self._state.ended_attempts.forget_planned(machine.name, exited.task, exited.number, sent)
         return wire.Command(wire.FORGET, exited.task, exited.number)
 
     def _exits_to_forget(self, machine: Machine, unrecorded: Iterable[wire.TaskStatus]) -> list[ExitedAttempt]:
--- a/spurarch/coordination/partition/ended_attempts.py
+++ b/spurarch/coordination/partition/ended_attempts.py
@@ -31,11 +31,36 @@
     HEARTBEAT_RESPONSE = "heartbeat-response"
 
 
+class SentCommand(Struct, frozen=True):
+    """How a command was sent, and the fencing token of the message that carried it."""
+
+    path: CommandPath
+    fencing_token: int
+
+
 class EndedAttempt(Struct):
-    """What is known of an ended attempt; `forgotten_by` is the path of the first command that forgets it, if any."""
+    """What is known of an ended attempt.
+
+    Attributes:
+        proof: How its end was proved.
+        start: The newest message of this owner with its start command; None if this owner sent none.
+        forget: The first message of this owner that told the worker to forget it, if any.
+        reported: A worker has reported it as running again.
+    """
 
     proof: EndProof
-    forgotten_by: CommandPath | None = None
+    start: SentCommand | None = None
+    forget: SentCommand | None = None
+    reported: bool = False
+
+    def description(self) -> str:
+        """Returns the key-value pairs of a log line."""
+        return f"proof={self.proof.value} {_described('start', self.start)} {_described('forget', self.forget)}"
+
+
+def _described(command: str, sent: SentCommand | None) -> str:
+    path, token = (sent.path.value, sent.fencing_token) if sent is not None else ("none", 0)
+    return f"{command}_path={path} {command}_token={token}"
 
 
 class EndedAttempts:
@@ -44,18 +69,18 @@
     def __init__(self) -> None:
         self._attempts: dict[tuple[str, str, int], EndedAttempt] = {}
 
-    def add(self, machine: str, task: str, number: int, proof: EndProof) -> None:
+    def add(self, machine: str, task: str, number: int, ended: EndedAttempt) -> None:
         """Adds an attempt whose end has been proved."""
-        self._attempts[machine, task, number] = EndedAttempt(proof)
+        self._attempts[machine, task, number] = ended
         if len(self._attempts) > MAX_ENDED_ATTEMPTS:
             del self._attempts[next(iter(self._attempts))]
 
-    def forget_planned(self, machine: str, task: str, number: int, path: CommandPath) -> None:
+    def forget_planned(self, machine: str, task: str, number: int, sent: SentCommand) -> None:
         """Notes that the worker is told to forget the attempt."""
         ended = self._attempts.get((machine, task, number))
-        if ended is not None and ended.forgotten_by is None:
-            ended.forgotten_by = path
+        if ended is not None and ended.forget is None:
+            ended.forget = sent
 
-    def remove(self, machine: str, task: str, number: int) -> EndedAttempt | None:
-        """Removes and returns an attempt; None if it is not known to have ended."""
-        return self._attempts.pop((machine, task, number), None)
+    def get(self, machine: str, task: str, number: int) -> EndedAttempt | None:
+        """Returns an attempt; None if it is not known to have ended."""
+        return self._attempts.get((machine, task, number))
--- a/spurarch/coordination/partition/machine.py
+++ b/spurarch/coordination/partition/machine.py
@@ -18,6 +18,7 @@
 
 from msgspec import Struct
 
+from spurarch.coordination.partition.ended_attempts import CommandPath
 from spurarch.protocol import wire
 from spurarch.storage.records import AllocationKey, TaskKey
 
@@ -78,6 +79,7 @@
         stop_acknowledged_at: When the worker's response to direct commands confirmed a stop command.
         running_at: When its phase last became RUNNING, by a message of the worker.
         start_token_counter: At least as high as the token counter of every message that carried a start command for it.
+        start_path: How this owner sent its newest start command; None if it sent none.
         terminated_at: When its exit or absence was proved.
         job_cancelled_at: When its job was cancelled; None if no cancellation has been observed.
     """
@@ -94,6 +96,7 @@
     grace_s: float = 0.0
     stop_acknowledged_at: float | None = None
     start_token_counter: int = 0
+    start_path: CommandPath | None = None
     running_at: float | None = None
     terminated_at: float = 0.0
     job_cancelled_at: float | None = None
@@ -267,8 +270,9 @@
             times.append(self.unconfirmed_cancellation_at)
         return min(times, default=None)
 
-    def start_planned(self, attempt: TaskAttempt) -> None:
+    def start_planned(self, attempt: TaskAttempt, path: CommandPath) -> None:
         """Notes that a message with the current token carries a start command for the attempt."""
+        attempt.start_path = path
         attempt.start_token_counter = self.start_token_counter = self.token_counter
 
     def is_schedulable(self, now: float) -> bool:
--- a/spurarch/coordination/partition/state.py
+++ b/spurarch/coordination/partition/state.py
@@ -13,7 +13,7 @@
 
 from msgspec import Struct, field
 
-from spurarch.coordination.partition.ended_attempts import EndedAttempts, EndProof
+from spurarch.coordination.partition.ended_attempts import EndedAttempt, EndedAttempts, EndProof, SentCommand
 from spurarch.coordination.partition.gang import Gangs
 from spurarch.coordination.partition.machine import AttemptPhase, Machine, TaskAttempt
 from spurarch.coordination.runtime.invariants import InvariantViolations
@@ -134,7 +134,7 @@
             return False
         if phase in (AttemptPhase.EXITED, AttemptPhase.GONE):
             attempt.terminated_at = self.now
-            self.ended_attempts.add(attempt.machine, wire.task_name(*attempt.key), attempt.number, proof)
+            self._add_ended(attempt, proof)
             self.scheduling_triggers += 1
             self.terminal_attempts[attempt.allocation][attempt.index] = attempt
             if phase is AttemptPhase.GONE or exit_reason != wire.REASON_DONE:
@@ -142,6 +142,13 @@
         self.gangs.mark_changed(attempt.allocation.job)
         return True
 
+    def _add_ended(self, attempt: TaskAttempt, proof: EndProof) -> None:
+        start = None
+        if attempt.start_path is not None:
+            start = SentCommand(attempt.start_path, self.lowest_token + attempt.start_token_counter)
+        task = wire.task_name(*attempt.key)
+        self.ended_attempts.add(attempt.machine, task, attempt.number, EndedAttempt(proof, start))
+
     def add_attempt(self, attempt: TaskAttempt, machine: Machine) -> None:
         """Adds an attempt that the records assign to the machine."""
         # This owner may have sent a start for it before, if the records did not assign it in between.
--- a/spurarch/coordination/partition/statuses.py
+++ b/spurarch/coordination/partition/statuses.py
@@ -108,12 +108,12 @@
         """
         if task.state == wire.EXITED:
             return
-        ended = self._state.ended_attempts.remove(machine.name, task.task, task.attempt)
-        if ended is not None:
-            forgotten_by = ended.forgotten_by.value if ended.forgotten_by is not None else "none"
+        ended = self._state.ended_attempts.get(machine.name, task.task, task.attempt)
+        if ended is not None and not ended.reported:
+            ended.reported = True
             self._violations.record(
                 f"ended attempt runs again task={task.task} attempt={task.attempt} machine={machine.name} "
-                f"proof={ended.proof.value} forgotten_by={forgotten_by}"
+                f"token={self._state.lowest_token + machine.acknowledged_token_counter} {ended.description()}"
             )
 
     def _log_unknown_state(self, task_state: str) -> None:
--- a/tests/test_late_commands.py
+++ b/tests/test_late_commands.py
@@ -43,9 +43,10 @@
     for _ in range(2):
         worker.tasks["job-1/0", 1] = wire.RUNNING
         world.exchange_heartbeat(worker)
+    token = world.partition.state.lowest_token
     assert world.violations.messages == [
-        "ended attempt runs again task=job-1/0 attempt=1 machine=vm-0 proof=exit-reported "
-        "forgotten_by=heartbeat-response"
+        f"ended attempt runs again task=job-1/0 attempt=1 machine=vm-0 token={token + 3} proof=exit-reported "
+        f"start_path=direct start_token={token + 1} forget_path=heartbeat-response forget_token={token + 3}"
     ]
 
 
