Stop an attempt that runs after its end was proved

What callers saw: the revived task of a cancelled job ran for 48 s, until it ended by itself; its owner sent `forget` 17 times, which a running attempt ignores, and never `halt`.

Cause: `exits_to_forget` and an attempt's final phase were compared with the number of a listed attempt and not with its state, so an attempt once known to have exited was never looked at again. Class: older evidence was kept against newer; the check "listed, and not assigned: stop" stood in one path and was passed over in another. Direct commands never stopped an attempt that no record assigns.

Change: newer evidence wins, in one place (`Machine.lists_unrecorded`, from the worker's newest message). Such an attempt is stopped by the next response and the next direct commands; before the records are read, if its job is cancelled or its end was proved here. Until it is gone, an end that is not recorded is held back, so that the task stays charged and its allocation stays; no other attempt of the task is started in the partition; the machine is not idle, and is released as overdue if the job was cancelled and no stop arrives. New line `unrecorded attempt runs`.

Not reached: an attempt whose end is on record already is not charged to its team again while it runs; the ledger knows records only.

--- a/spurarch/coordination/partition/commands.py
+++ b/spurarch/coordination/partition/commands.py
@@ -35,9 +35,8 @@
     ) -> list[wire.Command]:
         """Returns the commands that the worker needs now, and moves ASSIGNED attempts that are started to STARTING.
 
-        With a heartbeat, it also limits `machine.exits_to_forget` to the exits that the heartbeat lists. All commands
-        are idempotent, except that a start repeated after a forget runs the attempt again. Forgets come before starts,
-        so that a worker does not refuse a task whose earlier attempt it still lists.
+        All commands are idempotent, except that a start repeated after a forget runs the attempt again. Forgets come
+        before starts, so that a worker does not refuse a task whose earlier attempt it still lists.
 
         Args:
             machine: The worker's machine.
@@ -45,8 +44,7 @@
             absent: Attempts to be stopped that the heartbeat doesn't list, and that the worker could still start.
         """
         path = CommandPath.DIRECT if heartbeat is None else CommandPath.HEARTBEAT_RESPONSE
-        unrecorded = self._unrecorded_tasks(machine, heartbeat) if heartbeat is not None else []
-        exits = self._exits_to_forget(machine, unrecorded)
+        exits = self._exits_to_forget(machine)
         if heartbeat is not None:
             self._reject_starts(machine, [*exits, *absent])
         out = [
@@ -54,9 +52,7 @@
             for exited in exits
             if rejects_start(machine.token_counter, exited.start_token_counter)
         ]
-        out += [
-            wire.Command(wire.STOP, task.task, task.attempt, 0.0) for task in unrecorded if task.state != wire.EXITED
-        ]
+        out += self.unrecorded_stops(machine)
         for attempt in machine.attempts.values():
             if attempt.stop_requested:
                 if attempt.phase < AttemptPhase.EXITED and not self._is_checkpointing(attempt):
@@ -100,15 +96,15 @@
         self._state.ended_attempts.forget_planned(machine.name, exited.task, exited.number, sent)
         return wire.Command(wire.FORGET, exited.task, exited.number)
 
-    def _exits_to_forget(self, machine: Machine, unrecorded: Iterable[wire.TaskStatus]) -> list[ExitedAttempt]:
+    def _exits_to_forget(self, machine: Machine) -> list[ExitedAttempt]:
         """Returns the exited attempts that the worker need not list any more."""
         exits = machine.exits_to_forget
         if self._context.coverage is not None:
             exits = self._archived_exits(machine, self._context.coverage)
         return [*exits.values()] + [
             ExitedAttempt(task.task, task.attempt, machine.start_token_counter)
-            for task in unrecorded
-            if task.state == wire.EXITED
+            for task in machine.unrecorded_tasks
+            if task.state == wire.EXITED and machine.lists_unrecorded(task)
         ]
 
     @staticmethod
@@ -143,7 +139,7 @@
         return attempt.phase is AttemptPhase.STOPPING
 
     def _may_start(self, attempt: TaskAttempt) -> bool:
-        if not self._context.may_start():
+        if not self._context.may_start() or self._state.unrecorded_attempts.runs(attempt.key):
             return False
         if self._state.attempts_by_allocation.get(attempt.allocation, {}).get(attempt.index) is not attempt:
             self._context.violations.record(
@@ -154,8 +150,8 @@
         gang = self._state.gangs.get(attempt.allocation.job)
         return gang is None or gang.startable
 
-    def stops_for_cancelled(self, heartbeat: wire.Heartbeat) -> list[wire.Command]:
-        """Returns stops for the listed tasks whose jobs are known to be cancelled.
+    def stops_without_records(self, machine: Machine, heartbeat: wire.Heartbeat) -> list[wire.Command]:
+        """Returns stops for the listed tasks whose jobs are known to be cancelled, or whose end was proved.
 
         This needs no allocation records, as a new owner can be unable to read them: the partition can change owners
         just before an outage of the state service that is longer than `cancel_s`.
@@ -163,39 +159,41 @@
         return [
             wire.Command(wire.STOP, task.task, task.attempt, 0.0)
             for task in heartbeat.tasks
-            if task.state != wire.EXITED
-            and (key := wire.split_task(task.task))
-            and self._context.time_since_cancellation(key[0]) is not None
+            if task.state != wire.EXITED and (self._is_cancelled(task) or self._has_ended(machine, task))
         ]
 
-    @staticmethod
-    def _unrecorded_tasks(machine: Machine, heartbeat: wire.Heartbeat) -> list[wire.TaskStatus]:
-        """Returns the listed tasks that no record assigns to this machine.
+    def _must_stop(self, machine: Machine, task: wire.TaskStatus) -> bool:
+        """Whether a task in `machine.unrecorded_tasks` has to be stopped.
 
-        Exited tasks in `machine.exits_to_forget` are left out; entries of that table that the heartbeat no longer lists
-        are removed.
+        Before the records are read, that is known only of tasks whose job was cancelled or whose end was proved.
         """
-        out: list[wire.TaskStatus] = []
-        listed: dict[TaskKey, ExitedAttempt] = {}
-        for task in heartbeat.tasks:
-            key = wire.split_task(task.task)
-            attempt = machine.attempts.get(key) if key else None
-            if attempt is not None and attempt.number == task.attempt:
-                continue
-            exited = machine.exits_to_forget.get(key) if key else None
-            if key and exited is not None and exited.number == task.attempt:
-                listed[key] = exited
-            else:
-                out.append(task)
-        machine.exits_to_forget = listed
-        return out
+        if task.state == wire.EXITED or not machine.lists_unrecorded(task):
+            return False
+        return self._state.records_read or self._is_cancelled(task) or self._has_ended(machine, task)
+
+    def _is_cancelled(self, task: wire.TaskStatus) -> bool:
+        key = wire.split_task(task.task)
+        return key is not None and self._context.time_since_cancellation(key[0]) is not None
+
+    def _has_ended(self, machine: Machine, task: wire.TaskStatus) -> bool:
+        return self._state.ended_attempts.get(machine.name, task.task, task.attempt) is not None
+
+    def unrecorded_stops(self, machine: Machine) -> list[wire.Command]:
+        """Returns stops for the unrecorded tasks in the newest message of the worker."""
+        return [
+            wire.Command(wire.STOP, task.task, task.attempt, 0.0)
+            for task in machine.unrecorded_tasks
+            if self._must_stop(machine, task)
+        ]
 
     def needs_command(self, machine: Machine) -> bool:
-        """Whether direct commands are needed: a first start command for an attempt, or a stop command.
+        """Whether direct commands are needed: a first start command for an attempt, or a stop command for any task.
 
         Starts that were sent before are repeated only together with other commands and in heartbeat responses.
         """
-        return machine.state is MachineState.ACTIVE and any(
+        if machine.state is not MachineState.ACTIVE:
+            return False
+        return any(self._must_stop(machine, task) for task in machine.unrecorded_tasks) or any(
             (attempt.phase is AttemptPhase.ASSIGNED and not attempt.stop_requested and self._may_start(attempt))
             or (
                 attempt.stop_requested
--- a/spurarch/coordination/partition/direct_commands.py
+++ b/spurarch/coordination/partition/direct_commands.py
@@ -28,7 +28,10 @@
         """
         if machine.state is not MachineState.ACTIVE or machine.commands_in_flight or not machine.addr:
             return None
-        commands = self._commands.plan(machine, None) if self._state.records_read else self._immediate_stops(machine)
+        if self._state.records_read:
+            commands = self._commands.plan(machine, None)
+        else:
+            commands = self._immediate_stops(machine) + self._commands.unrecorded_stops(machine)
         if not commands:
             return None
         machine.commands_in_flight += 1
--- a/spurarch/coordination/partition/ended_attempts.py
+++ b/spurarch/coordination/partition/ended_attempts.py
@@ -45,12 +45,14 @@
         proof: How its end was proved.
         start: The newest message of this owner with its start command; None if this owner sent none.
         forget: The first message of this owner that told the worker to forget it, if any.
+        job_cancelled_at: When its job was cancelled, in seconds of the monotonic clock; None if it was not.
         reported: A worker has reported it as running again.
     """
 
     proof: EndProof
     start: SentCommand | None = None
     forget: SentCommand | None = None
+    job_cancelled_at: float | None = None
     reported: bool = False
 
     def description(self) -> str:
--- a/spurarch/coordination/partition/heartbeats.py
+++ b/spurarch/coordination/partition/heartbeats.py
@@ -76,7 +76,7 @@
         if not machine.has_applied(heartbeat):
             return []  # a new incarnation without a token of this owner, to which no attempt is assigned
         if not state.records_read:
-            return self._commands.stops_for_cancelled(heartbeat)
+            return self._commands.stops_without_records(machine, heartbeat)
         return self._plan_commands(machine, heartbeat)
 
     def _plan_commands(self, machine: Machine, heartbeat: wire.Heartbeat) -> list[wire.Command]:
--- a/spurarch/coordination/partition/machine.py
+++ b/spurarch/coordination/partition/machine.py
@@ -188,6 +188,9 @@
         unarchived_exits: By task of `exits_to_forget`, the revision that has to be archived before the worker may
             forget the exit.
         cached_images: Images of tasks that have run on it.
+        unrecorded_tasks: The tasks of its newest message that are on the machine although no record assigns them to it,
+            or although their end was proved; exits in `exits_to_forget` are left out.
+        unrecorded_cancellation_at: Earliest cancellation of such a task.
         unconfirmed_cancellation_at: Earliest cancellation of a task that was on it when its lease expired; a hung
             machine possibly still runs the task.
         task_failures: Number of task failures attributed to it.
@@ -224,6 +227,8 @@
     attempts: dict[TaskKey, TaskAttempt] = field(default_factory=dict)
     exits_to_forget: dict[TaskKey, ExitedAttempt] = field(default_factory=dict)
     unarchived_exits: dict[TaskKey, int] = field(default_factory=dict)
+    unrecorded_tasks: list[wire.TaskStatus] = field(default_factory=list)
+    unrecorded_cancellation_at: float | None = None
     cached_images: set[int] = field(default_factory=set)
     idle_since: float | None = None
     unconfirmed_cancellation_at: float | None = None
@@ -266,10 +271,26 @@
             for attempt in self.attempts.values()
             if attempt.job_cancelled_at is not None and attempt.phase < AttemptPhase.EXITED
         ]
-        if self.unconfirmed_cancellation_at is not None:
-            times.append(self.unconfirmed_cancellation_at)
+        without_attempt = (self.unconfirmed_cancellation_at, self.unrecorded_cancellation_at)
+        times += [cancelled_at for cancelled_at in without_attempt if cancelled_at is not None]
         return min(times, default=None)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether it has no tasks, neither by the records nor by its newest message."""
+        return not self.attempts and not self.unrecorded_tasks
+
+    def lists_unrecorded(self, task: wire.TaskStatus) -> bool:
+        """Whether a task that its worker lists is not, or no longer, assigned to it.
+
+        That includes an attempt that runs although its end was proved: the message is newer than the proof.
+        """
+        key = wire.split_task(task.task)
+        attempt = self.attempts.get(key) if key else None
+        if attempt is None or attempt.number != task.attempt:
+            return True
+        return attempt.phase >= AttemptPhase.EXITED and task.state != wire.EXITED
+
     def start_planned(self, attempt: TaskAttempt, path: CommandPath) -> None:
         """Notes that a message with the current token carries a start command for the attempt."""
         attempt.start_path = path
--- a/spurarch/coordination/partition/partition.py
+++ b/spurarch/coordination/partition/partition.py
@@ -93,6 +93,7 @@
         machine = self.machines.get(name)
         if machine is not None:
             machine.transition(MachineState.RELEASED)
+            self.state.set_unrecorded_tasks(machine, [])
             for attempt in machine.attempts.values():
                 self.state.mark_gone(attempt, EndProof.MACHINE_RELEASED)
 
@@ -104,7 +105,7 @@
         for machine in self.machines.values():
             if machine.lease_expired(now, self._lease_s):
                 self._expire_lease(machine, now)
-            if machine.attempts:
+            if not machine.is_empty:
                 machine.idle_since = None
             elif machine.idle_since is None:
                 machine.idle_since = now
@@ -122,6 +123,9 @@
                     attempt.job_cancelled_at, machine.unconfirmed_cancellation_at or attempt.job_cancelled_at
                 )
             self.state.mark_gone(attempt, EndProof.LEASE_EXPIRED)
+        machine.unconfirmed_cancellation_at = machine.earliest_cancellation_at()
+        self.state.set_unrecorded_tasks(machine, [])
+        machine.unrecorded_cancellation_at = None
 
     # Stops
 
--- a/spurarch/coordination/partition/state.py
+++ b/spurarch/coordination/partition/state.py
@@ -16,6 +16,7 @@
 from spurarch.coordination.partition.ended_attempts import EndedAttempt, EndedAttempts, EndProof, SentCommand
 from spurarch.coordination.partition.gang import Gangs
 from spurarch.coordination.partition.machine import AttemptPhase, Machine, TaskAttempt
+from spurarch.coordination.partition.unrecorded_attempts import UnrecordedAttempts
 from spurarch.coordination.runtime.invariants import InvariantViolations
 from spurarch.protocol import wire
 from spurarch.storage.records import AllocationKey, TaskEntry, TaskKey
@@ -81,6 +82,7 @@
         self.unassigned: dict[AllocationKey, list[TaskEntry]] = {}
         self.gangs = Gangs()
         self.ended_attempts = EndedAttempts()
+        self.unrecorded_attempts = UnrecordedAttempts()
         self.terminal_attempts: dict[AllocationKey, dict[int, TaskAttempt]] = defaultdict(dict)  # not recorded yet
         self.allocations_to_restart: set[AllocationKey] = set()  # with a terminal attempt of an incomplete task
         self.orphaned_allocations: set[AllocationKey] = set()  # of jobs whose record is missing or cancelled
@@ -112,8 +114,21 @@
         if len(self.released_machines) > MAX_RELEASED_MACHINES:
             del self.released_machines[next(iter(self.released_machines))]
 
+    def set_unrecorded_tasks(self, machine: Machine, tasks: list[wire.TaskStatus]) -> None:
+        """Replaces the unrecorded tasks of a machine.
+
+        Before the records are read, these are all tasks that it lists, which tells nothing about the attempts.
+        """
+        if tasks or machine.unrecorded_tasks:
+            self.unrecorded_attempts.replace(machine.name, machine.unrecorded_tasks, tasks if self.records_read else ())
+            machine.unrecorded_tasks = tasks
+
     # Attempts
 
+    def runs_again(self, attempt: TaskAttempt) -> bool:
+        """Whether an attempt whose end was proved runs by the newest message of its worker."""
+        return self.unrecorded_attempts.runs_attempt(attempt.key, attempt.machine, attempt.number)
+
     def mark_gone(self, attempt: TaskAttempt, proof: EndProof) -> bool:
         """Changes an attempt's phase to GONE; returns False if it has ended already."""
         return self.transition(attempt, AttemptPhase.GONE, proof=proof)
@@ -147,12 +162,14 @@
         if attempt.start_path is not None:
             start = SentCommand(attempt.start_path, self.lowest_token + attempt.start_token_counter)
         task = wire.task_name(*attempt.key)
-        self.ended_attempts.add(attempt.machine, task, attempt.number, EndedAttempt(proof, start))
+        ended = EndedAttempt(proof, start, job_cancelled_at=attempt.job_cancelled_at)
+        self.ended_attempts.add(attempt.machine, task, attempt.number, ended)
 
     def add_attempt(self, attempt: TaskAttempt, machine: Machine) -> None:
         """Adds an attempt that the records assign to the machine."""
         # This owner may have sent a start for it before, if the records did not assign it in between.
         attempt.start_token_counter = machine.start_token_counter
+        self.unrecorded_attempts.discard(attempt.key, machine.name)
         self.attempts_by_allocation[attempt.allocation][attempt.index] = attempt
         self.attempts[attempt.key] = machine.attempts[attempt.key] = attempt
         gang = self.gangs.get(attempt.allocation.job)
--- a/spurarch/coordination/partition/statuses.py
+++ b/spurarch/coordination/partition/statuses.py
@@ -9,10 +9,17 @@
 
 from spurarch.coordination.partition.ended_attempts import EndProof
 from spurarch.coordination.partition.failures import FailureAttribution
-from spurarch.coordination.partition.machine import AttemptPhase, Machine, MachineState, reported_phase
+from spurarch.coordination.partition.machine import (
+    AttemptPhase,
+    ExitedAttempt,
+    Machine,
+    MachineState,
+    reported_phase,
+)
 from spurarch.coordination.partition.state import PartitionContext, PartitionState
 from spurarch.coordination.partition.stopping import StopRequests
 from spurarch.protocol import wire
+from spurarch.storage.records import TaskKey
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +38,7 @@
     ) -> None:
         self._state, self._stops, self._failures = state, stops, failures
         self._image_of, self._violations = context.image_of, context.violations
+        self._time_since_cancellation = context.time_since_cancellation
         self._logged_states: set[str] = set()
 
     def apply(self, machine: Machine, heartbeat: wire.Heartbeat, now: float) -> None:
@@ -68,9 +76,61 @@
             machine.last_task_statuses = heartbeat.tasks
             for task in heartbeat.tasks:
                 self._apply_task(machine, task, now)
-        if machine.attempts:
+        self._update_unrecorded(machine, heartbeat.tasks, now)
+        if not machine.is_empty:
             state.machines_needing_commands[machine.name] = None
 
+    def _update_unrecorded(self, machine: Machine, tasks: list[wire.TaskStatus], now: float) -> None:
+        """Finds the unrecorded tasks in a message; limits `machine.exits_to_forget` to the exits that it lists."""
+        exits: dict[TaskKey, ExitedAttempt] = {}
+        unrecorded: list[wire.TaskStatus] = []
+        for task in tasks:
+            if not machine.lists_unrecorded(task):
+                continue
+            key = wire.split_task(task.task)
+            exited = machine.exits_to_forget.get(key) if key else None
+            if key and exited is not None and exited.number == task.attempt and task.state == wire.EXITED:
+                exits[key] = exited
+            else:
+                unrecorded.append(task)
+        machine.exits_to_forget = exits
+        if unrecorded and self._state.records_read:
+            self._log_unrecorded(machine, unrecorded)
+        self._state.set_unrecorded_tasks(machine, unrecorded)
+        machine.unrecorded_cancellation_at = self._earliest_cancellation(machine, now)
+        if machine.unrecorded_cancellation_at is not None:
+            self._state.machines_with_cancelled_tasks[machine.name] = None
+
+    def _log_unrecorded(self, machine: Machine, tasks: list[wire.TaskStatus]) -> None:
+        """Logs unrecorded attempts that the message before did not list."""
+        known = self._state.unrecorded_attempts
+        for task in tasks:
+            key = wire.split_task(task.task)
+            if key and task.state != wire.EXITED and not known.runs_attempt(key, machine.name, task.attempt):
+                log.warning(
+                    "unrecorded attempt runs machine=%s task=%s attempt=%d state=%s token=%d",
+                    machine.name,
+                    task.task,
+                    task.attempt,
+                    task.state,
+                    self._state.lowest_token + machine.acknowledged_token_counter,
+                )
+
+    def _earliest_cancellation(self, machine: Machine, now: float) -> float | None:
+        """Returns when the job of an unrecorded task that has not exited was first cancelled; None without one."""
+        times = []
+        for task in machine.unrecorded_tasks:
+            key = wire.split_task(task.task)
+            if key is None or task.state == wire.EXITED:
+                continue
+            elapsed_s = self._time_since_cancellation(key[0])
+            ended = self._state.ended_attempts.get(machine.name, task.task, task.attempt)
+            if elapsed_s is not None:
+                times.append(now - elapsed_s)
+            elif ended is not None and ended.job_cancelled_at is not None:
+                times.append(ended.job_cancelled_at)
+        return min(times, default=None)
+
     def _end_incarnation(self, machine: Machine, incarnation: int) -> None:
         """Marks the attempts of earlier incarnations as gone: a restarted worker runs none of them."""
         for attempt in list(machine.attempts.values()):
--- a/spurarch/coordination/partition/terminal_records.py
+++ b/spurarch/coordination/partition/terminal_records.py
@@ -42,6 +42,8 @@
         terminal = state.terminal_attempts.get(allocation, {})
         if len(terminal) < len(state.attempts_by_allocation.get(allocation, ())):
             return False  # decides most cases without a scan of the record
+        if any(state.runs_again(attempt) for attempt in terminal.values()):
+            return False
         return all(entry.state != records.ASSIGNED or entry.index in terminal for entry in record.tasks)
 
     def entries(self, cluster: ClusterState, delay_s: float) -> dict[AllocationKey, dict[int, TaskEntry]]:
@@ -62,10 +64,13 @@
                 self._oldest_termination(attempts) <= state.now - delay_s
                 or self._is_urgent(cluster, allocation, attempts)
             ):
-                changes[allocation] = {
+                entries = {
                     attempt.index: TaskEntry(attempt.index, self._task_state(cluster, attempt), attempt.number)
                     for attempt in attempts.values()
+                    if not state.runs_again(attempt)
                 }
+                if entries:
+                    changes[allocation] = entries
         return changes
 
     @staticmethod
--- a/spurarch/coordination/scaling/idle_machines.py
+++ b/spurarch/coordination/scaling/idle_machines.py
@@ -47,6 +47,4 @@
 
 
 def _is_empty(machine: Machine, capacity: MachineCapacity) -> bool:
-    return (
-        not capacity.tasks and not machine.attempts and machine.state is MachineState.ACTIVE and not machine.releasing
-    )
+    return not capacity.tasks and machine.is_empty and machine.state is MachineState.ACTIVE and not machine.releasing
--- a/spurarch/coordination/scaling/machine_releaser.py
+++ b/spurarch/coordination/scaling/machine_releaser.py
@@ -40,11 +40,11 @@
             # silent to it while they send heartbeats to the new owner, and releasing them would end healthy tasks.
             if not await self._replica.sync() or not self._permissions.owns(owned.partition):
                 return
-            idle = [m for m in machines if m.state is MachineState.ACTIVE and not m.attempts]
+            idle = [m for m in machines if m.state is MachineState.ACTIVE and m.is_empty]
             if not await self._cordon(owned.partition, idle) or not self._permissions.owns(owned.partition):
                 return
             # A task may have been assigned to one of the idle machines while the transactions were committed.
-            machines = [machine for machine in machines if machine not in idle or not machine.attempts]
+            machines = [machine for machine in machines if machine not in idle or machine.is_empty]
             if machines:
                 await self._release_if_still_owned(owned, machines)
         finally:
--- a/spurarch/coordination/scheduling/placement.py
+++ b/spurarch/coordination/scheduling/placement.py
@@ -135,7 +135,7 @@
             job = self._round.view.jobs.get(allocation.job)
             for attempt in attempts.values():
                 capacity = capacities.by_name.get(attempt.machine)
-                if job is not None and capacity is not None:
+                if job is not None and capacity is not None and not self._round.partition.state.runs_again(attempt):
                     capacities.bookings.book(capacity, job.requirements, -1)
 
     def _book_pending_changes(self) -> None:
