Tests: what a copy of an answered start can meet

A test for each meeting: after a move, a cancellation, `forget`, a change of owner (before and after its first message, with and without records), the end of the lease, a restart in a new incarnation with and without the token; a copy with a forget and a start; two copies in the wrong order; a gang's member; an exit that cannot be recorded; a start that was lost before. Each asserts that the copy carries a start of an attempt that the worker doesn't know.

Known red: a worker that starts over with incarnation and sequence of before and without its token executes the copy, and its heartbeats look outdated.

--- a/tests/sim/command_exchange.py
+++ b/tests/sim/command_exchange.py
@@ -101,14 +101,16 @@
 class CommandExchange:
     """The owner of a partition, its workers, the records of one job, and everything on its way between them."""
 
-    def __init__(self, workers: int, tasks: int) -> None:
+    def __init__(self, workers: int, tasks: int, kind: str = wire.BATCH) -> None:
         self.now, self.epoch = 1.0, 0
         self.records = ClusterState()
         self.violations = InvariantViolations()
         self.ran_twice: list[str] = []
         self.job_cancelled_at: float | None = None
         self.workers = [Worker(f"vm-{i}") for i in range(workers)]
-        self._put(records.JOB + JOB, JobRecord(submission(JOB, tasks), 0.0))
+        job = submission(JOB, tasks)
+        job.kind = kind
+        self._put(records.JOB + JOB, JobRecord(job, 0.0))
         self._put(str(ALLOCATION), AllocationRecord([TaskEntry(index) for index in range(tasks)]))
         self.partition = self._create_owner()
         self.read_records()
@@ -146,15 +148,21 @@
 
     def assign(self, index: int, worker: Worker) -> bool:
         """Assigns a waiting task to a worker under the next attempt."""
+        return self.assign_together({index: worker})
+
+    def assign_together(self, workers: dict[int, Worker]) -> bool:
+        """Assigns several waiting tasks to workers under their next attempts, in one record."""
         self._step()
         if not self.partition.state.records_read:
             return False
-        entry = self._entries()[index]
-        machine = self.partition.machines.get(worker.name)
-        if entry.state != records.UNASSIGNED or machine is None or not machine.can_accept_tasks(self.now):
-            return False
-        assigned = TaskEntry(index, records.ASSIGNED, entry.attempt + 1, worker.name, machine.incarnation)
-        self._record({index: assigned})
+        entries = {}
+        for index, worker in workers.items():
+            entry, machine = self._entries()[index], self.partition.machines.get(worker.name)
+            if entry.state != records.UNASSIGNED or machine is None or not machine.can_accept_tasks(self.now):
+                return False
+            incarnation = machine.incarnation
+            entries[index] = TaskEntry(index, records.ASSIGNED, entry.attempt + 1, worker.name, incarnation)
+        self._record(entries)
         return True
 
     def request_stop(self, index: int) -> bool:
@@ -318,6 +326,12 @@
                 return True
         return False
 
+    def start_over(self, worker: Worker) -> None:
+        """The worker restarts with the incarnation and sequence of its beginning, without its token."""
+        worker.tasks.clear()
+        worker.heartbeat = None
+        worker.seq = worker.token = 0
+
     def restart(self, worker: Worker, keeps_token: bool) -> bool:
         """The worker restarts in its next incarnation."""
         worker.end_incarnation(keeps_token)
