Look for unrecorded attempts only in messages that can have any

Change: a message that lists what the one before listed is skipped if none of its tasks is unrecorded or waits to be forgotten; a removed attempt makes the next message count as changed, as an added one did.

--- a/spurarch/coordination/partition/machine.py
+++ b/spurarch/coordination/partition/machine.py
@@ -200,7 +200,7 @@
         draining: Consolidation empties it: its tasks end or are migrated, and it is assigned no new ones.
         release_after: When its release may be tried again.
         next_command_at: When direct commands may be sent to it again.
-        last_task_statuses: Task statuses of its newest message; None if tasks were assigned since.
+        last_task_statuses: Task statuses of its newest message; None if its attempts have changed since.
     """
 
     name: str
--- a/spurarch/coordination/partition/partition.py
+++ b/spurarch/coordination/partition/partition.py
@@ -105,7 +105,7 @@
         for machine in self.machines.values():
             if machine.lease_expired(now, self._lease_s):
                 self._expire_lease(machine, now)
-            if not machine.is_empty:
+            if machine.attempts or machine.unrecorded_tasks:
                 machine.idle_since = None
             elif machine.idle_since is None:
                 machine.idle_since = now
--- a/spurarch/coordination/partition/state.py
+++ b/spurarch/coordination/partition/state.py
@@ -206,6 +206,7 @@
         machine = self.machines.get(attempt.machine)
         if machine is not None and machine.attempts.get(attempt.key) is attempt:
             del machine.attempts[attempt.key]
+            machine.last_task_statuses = None
 
     def _drop_terminal_attempts_if_empty(self, allocation: AllocationKey) -> None:
         if not self.terminal_attempts.get(allocation, True):
--- a/spurarch/coordination/partition/statuses.py
+++ b/spurarch/coordination/partition/statuses.py
@@ -72,12 +72,12 @@
         machine.termination_notice_until = None if notice_s is None else now + notice_s
         if notice_s is not None:
             self._stops.checkpoint_gangs(machine, notice_s)
-        if heartbeat.tasks != machine.last_task_statuses:
+        if heartbeat.tasks != machine.last_task_statuses or machine.unrecorded_tasks or machine.exits_to_forget:
             machine.last_task_statuses = heartbeat.tasks
             for task in heartbeat.tasks:
                 self._apply_task(machine, task, now)
-        self._update_unrecorded(machine, heartbeat.tasks, now)
-        if not machine.is_empty:
+            self._update_unrecorded(machine, heartbeat.tasks, now)
+        if machine.attempts or machine.unrecorded_tasks:
             state.machines_needing_commands[machine.name] = None
 
     def _update_unrecorded(self, machine: Machine, tasks: list[wire.TaskStatus], now: float) -> None:
