Tests: the simulated cloud and the worker model in modules of their own

The cloud, the machine types and the worker model move without a change. The steps that run a task to its exit stood in four tests; they are CommandExchange.run_to_exit.

--- a/tests/sim/command_exchange.py
+++ b/tests/sim/command_exchange.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
 from spurarch.coordination.partition.partition import Partition
 from spurarch.coordination.partition.state import PartitionContext
 from spurarch.coordination.partition.terminal_records import TerminalRecords
@@ -18,86 +16,15 @@
 from spurarch.storage import records
 from spurarch.storage.cluster_state import ClusterState
 from spurarch.storage.records import AllocationKey, AllocationRecord, JobRecord, TaskEntry
+from tests.sim.worker_model import ZONE, DirectExchange, Exchange, Worker
 from tests.test_scale import submission
 
-ZONE, JOB = "a", "job-1"
+JOB = "job-1"
 ALLOCATION = AllocationKey(ZONE, JOB, 0)
 LEASE_S = 10.0
 STEP_S = 0.01  # between two calls
 
 
-@dataclass
-class Exchange:
-    """A heartbeat on its way to the owner, or its response on the way back."""
-
-    heartbeat: wire.Heartbeat
-    response: wire.HeartbeatResponse | None = None
-
-
-@dataclass
-class DirectExchange:
-    """Direct commands on their way to the worker, or their response on the way back.
-
-    Attributes:
-        response: The worker's heartbeat after the commands; None before they arrive.
-        abandoned: The owner waits no longer for the response.
-    """
-
-    request: wire.DirectCommands
-    response: wire.Heartbeat | None = None
-    abandoned: bool = False
-
-
-@dataclass
-class Worker:
-    """A worker. `tasks` holds the state of each attempt that it knows, by name of the task and attempt number."""
-
-    name: str
-    incarnation: int = 1
-    seq: int = 0
-    token: int = 0
-    tasks: dict[tuple[str, int], str] = field(default_factory=dict)
-    started: list[tuple[str, int]] = field(default_factory=list)
-    heartbeat: Exchange | None = None  # the one in flight
-    sent: list[wire.Heartbeat] = field(default_factory=list)
-    received: list[wire.DirectCommands] = field(default_factory=list)  # requests with direct commands, as they arrived
-    direct: list[DirectExchange] = field(default_factory=list)  # not delivered yet, or without a delivered response
-
-    def build_heartbeat(self) -> wire.Heartbeat:
-        """Returns the present state with the next sequence number."""
-        self.seq += 1
-        statuses = [
-            wire.TaskStatus(task, attempt, state, wire.REASON_STOPPED if state == wire.EXITED else None)
-            for (task, attempt), state in self.tasks.items()
-        ]
-        return wire.Heartbeat(self.name, "10.1.0.1:9000", "big", ZONE, self.incarnation, self.seq, self.token, statuses)
-
-    def execute(self, commands: list[wire.Command]) -> list[str]:
-        """Executes commands in order; returns the names of the tasks that it starts."""
-        started = []
-        for command in commands:
-            key = command.task, command.attempt
-            state = self.tasks.get(key)
-            if command.op == wire.START and state is None:
-                present = any(task == command.task and other != wire.EXITED for (task, _), other in self.tasks.items())
-                self.tasks[key] = wire.EXITED if present else wire.RUNNING
-                if not present:
-                    started.append(command.task)
-            elif command.op == wire.STOP and state is not None:
-                self.tasks[key] = wire.EXITED
-            elif command.op == wire.FORGET and state == wire.EXITED:
-                del self.tasks[key]
-        return started
-
-    def end_incarnation(self, keeps_token: bool) -> None:
-        """Begins the next incarnation, without tasks: its lease has ended, or it has restarted."""
-        self.tasks.clear()
-        self.incarnation += 1
-        self.seq = 0
-        if not keeps_token:
-            self.token = 0
-
-
 class CommandExchange:
     """The owner of a partition, its workers, the records of one job, and everything on its way between them."""
 
@@ -302,11 +229,15 @@
         self.deliver_direct(worker, 0)
         return self.deliver_direct_response(worker)
 
-    def run_and_forget(self, worker: Worker) -> None:
-        """Starts task 0 by direct commands; it exits, the exit is recorded, and the worker forgets it."""
+    def run_to_exit(self, worker: Worker) -> None:
+        """Starts task 0 by direct commands; it exits by itself, which the owner doesn't know yet."""
         self.assign(0, worker)
         self.exchange_direct(worker)
         self.end_task(worker, 0)
+
+    def run_and_forget(self, worker: Worker) -> None:
+        """Starts task 0 by direct commands; it exits, the exit is recorded, and the worker forgets it."""
+        self.run_to_exit(worker)
         self.exchange_heartbeat(worker)
         self.record_ends()
         self.exchange_heartbeat(worker)
--- a/tests/sim/command_walk.py
+++ b/tests/sim/command_walk.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from random import Random
 
-from tests.sim.command_exchange import CommandExchange, Worker
+from tests.sim.command_exchange import CommandExchange
+from tests.sim.worker_model import Worker
 
 WORKERS, TASKS = 2, 1
 
--- a/tests/sim/loopback.py
+++ b/tests/sim/loopback.py
@@ -26,7 +26,9 @@
 from tests.outcomes import ACCEPTED, CANCEL_REQUESTED, COMPLETED, LEFT, REPORTED, STARTED, Event, OutcomeLog
 from tests.sim.addresses import ReservedAddresses
 from tests.sim.clock import Clock
-from tests.sim.fleet import MachineType, SimCloud, SimTask, Worker, World
+from tests.sim.cloud import SimCloud
+from tests.sim.fleet import SimTask, Worker, World
+from tests.sim.machine_type import MachineType
 from tests.sim.store import SimStateService
 
 ROOT = Path(__file__).parent.parent.parent
--- a/tests/sim/recovery.py
+++ b/tests/sim/recovery.py
@@ -42,7 +42,7 @@
 from spurarch.storage import records
 from spurarch.storage.history import HISTORY
 from spurarch.storage.store import Store
-from tests.sim.fleet import MachineType
+from tests.sim.machine_type import MachineType
 from tests.sim.net import SimNetwork
 from tests.sim.scenario import STATE_ADDRESS, ScenarioRun
 from tests.sim.scenario_text import Scenario
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -48,7 +48,9 @@
 from spurarch.transport.http import NoAnswerError, Request
 from tests.sim import scenario_actions, scenario_checks
 from tests.sim.clock import Clock
-from tests.sim.fleet import MachineType, SimCloud, World
+from tests.sim.cloud import SimCloud
+from tests.sim.fleet import World
+from tests.sim.machine_type import MachineType
 from tests.sim.net import SimLinks, SimNetwork
 from tests.sim.scenario_text import Scenario, options
 from tests.sim.store import SimStateService
--- a/tests/test_late_commands.py
+++ b/tests/test_late_commands.py
@@ -34,14 +34,9 @@
 def test_an_attempt_that_runs_again_after_its_end_is_reported_once_with_the_proof_of_its_end() -> None:
     world = CommandExchange(WORKERS, TASKS)
     worker, _ = world.workers
-    world.assign(0, worker)
-    world.exchange_direct(worker)
-    world.end_task(worker, 0)
-    world.exchange_heartbeat(worker)
-    world.record_ends()
-    world.exchange_heartbeat(worker)
+    world.run_and_forget(worker)
     for _ in range(2):
-        worker.tasks["job-1/0", 1] = wire.RUNNING
+        world.run_again(worker, 0, 1)
         world.exchange_heartbeat(worker)
     token = world.partition.state.lowest_token
     assert world.violations.messages == [
--- a/tests/test_repeated_commands.py
+++ b/tests/test_repeated_commands.py
@@ -7,7 +7,8 @@
 import pytest
 
 from spurarch.protocol import wire
-from tests.sim.command_exchange import CommandExchange, Worker
+from tests.sim.command_exchange import CommandExchange
+from tests.sim.worker_model import Worker
 
 WORKERS, TASKS = 2, 2
 
@@ -105,9 +106,7 @@
 def test_a_copy_with_a_forget_and_a_start_does_not_start_the_later_attempt_again() -> None:
     world = CommandExchange(WORKERS, TASKS)
     worker = world.workers[0]
-    world.assign(0, worker)
-    world.exchange_direct(worker)
-    world.end_task(worker, 0)
+    world.run_to_exit(worker)
     world.exchange_heartbeat(worker)
     world.record_ends()
     world.send_heartbeat(worker)
@@ -161,9 +160,7 @@
     """As while the state service is down: the worker still knows the attempt."""
     world = CommandExchange(WORKERS, TASKS)
     worker = world.workers[0]
-    world.assign(0, worker)
-    world.exchange_direct(worker)
-    world.end_task(worker, 0)
+    world.run_to_exit(worker)
     for _ in range(3):
         world.exchange_heartbeat(worker)
         world.deliver_direct_copy(worker, 0)
--- a/tests/test_unrecorded_attempts.py
+++ b/tests/test_unrecorded_attempts.py
@@ -6,7 +6,8 @@
 
 from spurarch.coordination.partition.terminal_records import TerminalRecords
 from spurarch.protocol import wire
-from tests.sim.command_exchange import LEASE_S, CommandExchange, Worker
+from tests.sim.command_exchange import LEASE_S, CommandExchange
+from tests.sim.worker_model import Worker
 
 WORKERS, TASKS = 2, 2
 ATTEMPT = ("job-1/0", 1)
@@ -21,9 +22,7 @@
 def exit_reported(world: CommandExchange) -> Worker:
     """Returns a worker that ran the attempt; its exit was reported, but not recorded."""
     worker = world.workers[0]
-    world.assign(0, worker)
-    world.exchange_direct(worker)
-    world.end_task(worker, 0)
+    world.run_to_exit(worker)
     world.exchange_heartbeat(worker)
     return worker
 
