--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,6 +20,12 @@
     assert max(result.closest.values()) > 0.9, "no team came close to its limit"
 
 
+def test_no_ended_attempt_runs_again_when_answered_commands_arrive_again(tmp_path: Path) -> None:
+    result = soak(make_plan(14, "small", ("repeated-commands", "kill-leader", "cancel-burst")), tmp_path)
+    assert result.problems == []
+    assert result.starts > result.jobs
+
+
 @pytest.mark.parametrize("fault", ["limit-left-out", "charge-dropped-early"])
 def test_the_soak_finds_a_planted_fault(fault: str, tmp_path: Path) -> None:
     result = soak(make_plan(2, "small", ("cancel-burst",)), tmp_path, planted=fault)
