--- a/spurarch/coordination/partition/ended_attempts.py
+++ b/spurarch/coordination/partition/ended_attempts.py
@@ -18,7 +18,7 @@
     """How the end of an attempt was proved."""
 
     EXIT_REPORTED = "exit-reported"
-    NOT_LISTED = "not-listed"  # by a heartbeat that the worker sent after the start command
+    NOT_LISTED = "not-listed"  # by a heartbeat with a token for which the worker rejects the start command
     INCARNATION_ENDED = "incarnation-ended"
     LEASE_EXPIRED = "lease-expired"
     MACHINE_RELEASED = "machine-released"
--- a/spurarch/coordination/partition/heartbeats.py
+++ b/spurarch/coordination/partition/heartbeats.py
@@ -50,8 +50,8 @@
         tasks. Any other accepted heartbeat adds a machine that is new, and offers it a fencing token. Every call sets
         the time of the partition's state to `now`.
 
-        Attempts to be stopped that the worker no longer lists become GONE, and attempts whose start is returned become
-        STARTING.
+        Attempts to be stopped that the worker doesn't list become GONE once it rejects their start commands, and
+        attempts whose start is returned become STARTING.
 
         Args:
             heartbeat: The worker's heartbeat.
