Name machines that can take tasks by what the list is for

The lists of machines that are searched first were named after free CPUs alone.

Change: with_free_cpus and collect_with_free_cpus are with_free_capacity and collect_with_free_capacity everywhere. No behaviour changes.

--- a/spurarch/coordination/admission/array_planner.py
+++ b/spurarch/coordination/admission/array_planner.py
@@ -51,7 +51,7 @@
         if state.no_free_capacity.covers(job.requirements, only_zone):
             return 0
         booked = book_by_best_fit(
-            job.requirements, in_zone_or_all(state.with_free_cpus, only_zone), count, state.bookings
+            job.requirements, in_zone_or_all(state.with_free_capacity, only_zone), count, state.bookings
         )
         for capacity, number in booked:
             assignment.add(capacity.zone, number)
--- a/spurarch/coordination/admission/gang_planner.py
+++ b/spurarch/coordination/admission/gang_planner.py
@@ -41,8 +41,8 @@
         used_zones = [zone for zone, number in job.tasks_by_zone.items() if number > 0]
         fitting = {
             zone: capacities
-            for zone in used_zones or state.with_free_cpus
-            if all_fit(requirements, capacities := state.with_free_cpus[zone], count)
+            for zone in used_zones or state.with_free_capacity
+            if all_fit(requirements, capacities := state.with_free_capacity[zone], count)
         }
         if fitting:
             zone = max(
@@ -53,7 +53,7 @@
                     -zone,
                 ),
             )
-            book_by_best_fit(requirements, state.with_free_cpus[zone], count, state.bookings)
+            book_by_best_fit(requirements, state.with_free_capacity[zone], count, state.bookings)
             return zone
         if used_zones:
             return used_zones[0]  # other members of the gang are already admitted there
--- a/spurarch/coordination/admission/planner.py
+++ b/spurarch/coordination/admission/planner.py
@@ -185,7 +185,7 @@
             return used_zones[0]
         state = self._state
         slots_by_zone: dict[int, int] = defaultdict(int)
-        for zone, capacities in state.with_free_cpus.items():
+        for zone, capacities in state.with_free_capacity.items():
             for capacity in capacities:
                 if capacity.fits(job.requirements):
                     slots_by_zone[zone] += capacity.task_slots(job.requirements, job.tasks)
--- a/spurarch/coordination/admission/planning_state.py
+++ b/spurarch/coordination/admission/planning_state.py
@@ -37,7 +37,7 @@
             for capacity in view.capacities.values()
             if capacity.schedulable and capacity.zone not in unreachable
         ]
-        self.with_free_cpus = _by_zone(capacity for capacity in self.capacities if capacity.free_cpus > EPSILON)
+        self.with_free_capacity = _by_zone(capacity for capacity in self.capacities if capacity.free_cpus > EPSILON)
         self.booting = _by_zone(capacity for capacity in booting if capacity.zone not in unreachable)
         self.queued_cpus: dict[int, float] = defaultdict(float)  # by zone, of admitted tasks that wait for a machine
         self.freed_cpus = _freed_cpus_by_zone(view, admit_ahead_s, unreachable)  # within `admit_ahead_s`
@@ -57,14 +57,14 @@
 
     def drop_full_machines(self) -> None:
         """Excludes machines without free CPUs from the later searches of the round."""
-        for capacities_by_zone in (self.with_free_cpus, self.booting):
+        for capacities_by_zone in (self.with_free_capacity, self.booting):
             for zone, capacities in capacities_by_zone.items():
                 capacities_by_zone[zone] = [capacity for capacity in capacities if capacity.free_cpus > EPSILON]
 
     def book_on_free_machines(self, requirements: Requirements, zone: int, count: int) -> int:
         """Books up to `count` equal tasks on free capacity of a zone; returns how many it booked."""
         return sum(
-            booked for _, booked in book_by_best_fit(requirements, self.with_free_cpus[zone], count, self.bookings)
+            booked for _, booked in book_by_best_fit(requirements, self.with_free_capacity[zone], count, self.bookings)
         )
 
     def book_on_booting_machines(self, requirements: Requirements, zone: int, count: int) -> int:
--- a/spurarch/coordination/admission/replica_planner.py
+++ b/spurarch/coordination/admission/replica_planner.py
@@ -52,7 +52,7 @@
         for zones in _zones_by_preference(allowed_zones, tasks_by_zone):
             searched = [zone for zone in zones if not state.no_free_capacity.covers(requirements, zone)]
             capacity = best_fit(
-                requirements, (candidate for zone in searched for candidate in state.with_free_cpus[zone])
+                requirements, (candidate for zone in searched for candidate in state.with_free_capacity[zone])
             )
             if capacity is not None:
                 if requirements.image in capacity.images:
--- a/spurarch/coordination/scheduling/array_placement.py
+++ b/spurarch/coordination/scheduling/array_placement.py
@@ -37,7 +37,7 @@
         waiting = self._round.unplaced(allocation)
         unplaceable = capacities.is_unplaceable(job.requirements)
         if not unplaceable:
-            waiting = self._assign_by_best_fit(allocation, job, waiting, capacities.with_free_cpus)
+            waiting = self._assign_by_best_fit(allocation, job, waiting, capacities.with_free_capacity)
             capacities.drop_full_machines()
         if not waiting:
             return
@@ -50,7 +50,7 @@
     def place_where_image_is_cached(self, allocation: AllocationKey, job: JobView) -> None:
         """Places as many tasks of an allocation as fit on machines that have its image."""
         image = job.requirements.image
-        cached = [capacity for capacity in self._round.capacities.with_free_cpus if image in capacity.images]
+        cached = [capacity for capacity in self._round.capacities.with_free_capacity if image in capacity.images]
         self._assign_by_best_fit(allocation, job, self._round.unplaced(allocation), cached)
 
     def waits_for_image(self, allocation: AllocationKey, job: JobView) -> bool:
--- a/spurarch/coordination/scheduling/gang_placement.py
+++ b/spurarch/coordination/scheduling/gang_placement.py
@@ -77,8 +77,8 @@
         capacities = self._round.capacities
         reservation = self._round.placement_state.gang_reservations.get(job.job_id)
         if reservation is None:
-            return capacities.with_free_cpus
-        return capacities.with_free_cpus + [
+            return capacities.with_free_capacity
+        return capacities.with_free_capacity + [
             capacity for capacity in capacities.reserved_for_gangs if capacity.machine in reservation.machines
         ]
 
--- a/spurarch/coordination/scheduling/placement.py
+++ b/spurarch/coordination/scheduling/placement.py
@@ -113,7 +113,7 @@
         """Places allocations until all are handled, time runs out or `max_allocations` of them have changed."""
         self._unbook_terminal_attempts()
         self._moved_replicas.reserve()
-        self._round.capacities.collect_with_free_cpus()
+        self._round.capacities.collect_with_free_capacity()
         self._book_pending_changes()
         self._gangs.apply_reservations()
         self._round.result.unwritable = self._unwritable()
--- a/spurarch/coordination/scheduling/round_capacities.py
+++ b/spurarch/coordination/scheduling/round_capacities.py
@@ -20,14 +20,14 @@
         bookings: Bookings that the round has made on the fleet view.
         schedulable: Machines that take new tasks and whose last heartbeat is at most `max_silence_s` ago, without
             machines excluded in this round.
-        with_free_cpus: Machines of `schedulable` that have free CPUs and are not reserved for gangs; empty until
-            `collect_with_free_cpus` is called.
+        with_free_capacity: Machines of `schedulable` that have free CPUs and are not reserved for gangs; empty until
+            `collect_with_free_capacity` is called.
         reserved_for_gangs: Machines that arrays must not use; service replicas that fit nowhere else use them.
     """
 
     def __init__(self, partition: Partition, view: FleetView, now: float, max_silence_s: float) -> None:
         self.bookings = TentativeBookings()
-        self.with_free_cpus: list[MachineCapacity] = []
+        self.with_free_capacity: list[MachineCapacity] = []
         self.reserved_for_gangs: list[MachineCapacity] = []
         self._partition, self._machine_names = partition, view.machines
         self.schedulable = self._schedulable_machines(view, now, max_silence_s)
@@ -63,18 +63,18 @@
         """Returns the partition's state of the machine."""
         return self._partition.machines[self._machine_names.name(capacity.machine)]
 
-    def collect_with_free_cpus(self) -> None:
-        """Sets `with_free_cpus` to all schedulable machines with free CPUs."""
-        self.with_free_cpus = [capacity for capacity in self.schedulable if capacity.free_cpus > EPSILON]
+    def collect_with_free_capacity(self) -> None:
+        """Sets `with_free_capacity` to all schedulable machines with free CPUs."""
+        self.with_free_capacity = [capacity for capacity in self.schedulable if capacity.free_cpus > EPSILON]
 
     def drop_full_machines(self) -> None:
-        """Removes machines without free CPUs from `with_free_cpus`."""
-        self.with_free_cpus = [capacity for capacity in self.with_free_cpus if capacity.free_cpus > EPSILON]
+        """Removes machines without free CPUs from `with_free_capacity`."""
+        self.with_free_capacity = [capacity for capacity in self.with_free_capacity if capacity.free_cpus > EPSILON]
 
     def reserve_for_gangs(self, machines: frozenset[int]) -> None:
-        """Adds machines to `reserved_for_gangs` and removes them from `with_free_cpus`."""
+        """Adds machines to `reserved_for_gangs` and removes them from `with_free_capacity`."""
         self.reserved_for_gangs += [capacity for capacity in self.schedulable if capacity.machine in machines]
-        self.with_free_cpus = [capacity for capacity in self.with_free_cpus if capacity.machine not in machines]
+        self.with_free_capacity = [capacity for capacity in self.with_free_capacity if capacity.machine not in machines]
 
     def not_reserved_for_gangs(self) -> list[MachineCapacity]:
         """Returns the schedulable machines that are not reserved for gangs, also those without free CPUs."""
@@ -84,7 +84,7 @@
     def exclude(self, excluded: MachineCapacity) -> None:
         """Excludes a machine from placement for the rest of the round."""
         self.schedulable.remove(excluded)
-        self.with_free_cpus = [capacity for capacity in self.with_free_cpus if capacity is not excluded]
+        self.with_free_capacity = [capacity for capacity in self.with_free_capacity if capacity is not excluded]
 
     def record_unplaceable(self, requirements: Requirements) -> None:
         """Records that a task with these requirements fitted on no machine in this round."""
--- a/spurarch/coordination/scheduling/service_placement.py
+++ b/spurarch/coordination/scheduling/service_placement.py
@@ -49,7 +49,7 @@
         capacity = None
         if not unplaceable:
             capacity = self._moved_replicas.target(key, requirements) or best_fit(
-                requirements, capacities.with_free_cpus
+                requirements, capacities.with_free_capacity
             )
         if capacity is None and capacities.reserved_for_gangs:
             capacity = best_fit(requirements, capacities.reserved_for_gangs)  # only arrays are kept off these machines
