Give a machine no more tasks than its worker's heartbeat can list

Cause: a request body holds 64 KiB, a heartbeat is one and lists all tasks on the machine, and a worker can't split it. Placement compared CPUs, GPUs and memory only, so tasks that need little were limited by nothing.

Change: the number of tasks is a resource of a machine beside CPUs, GPUs and memory, booked and compared wherever these are. Tasks that a worker lists without a record (exits that it hasn't been told to forget, unrecorded ones) and exited ones whose end is not on record yet take a place too. Estimates in CPUs (admission ahead of time, returns to the leader, capacity freed by the time a machine is up, consolidation, headroom) count tasks as well; machines are requested for as many tasks as each can list.

Why a count and not the bytes of the ids that are there: every entry can grow from `fetching` to `ended` with a cause, and the count stays right whatever comes later.

tests/test_transaction_limits.py put up to 16,000 tasks on its one machine. It has 40 machines instead; its bounds and examples are the same.

--- a/spurarch/coordination/admission/array_planner.py
+++ b/spurarch/coordination/admission/array_planner.py
@@ -95,11 +95,11 @@
         cpus_with_image = state.cpus_with_image(job.requirements.image)
         assigned = 0
         for zone in sorted(spare_cpus, key=lambda zone: (-cpus_with_image.get(zone, 0.0), -spare_cpus[zone])):
-            number = min(count - assigned, int(spare_cpus[zone] / cpus))
+            number = min(count - assigned, state.slots_ahead(zone, spare_cpus[zone], cpus))
             if number >= min(count - assigned, state.min_tasks_per_zone) > 0:
                 assignment.add(zone, number)
                 assigned += number
-                state.queued_cpus[zone] += number * cpus
+                state.add_queued(job.requirements, zone, number)
         if spare_cpus and not assigned and starving:
             # No zone frees enough capacity for a task of this size; the partition owner reserves a machine for it.
             assignment.add(max(spare_cpus, key=lambda zone: spare_cpus[zone]), 1)
--- a/spurarch/coordination/admission/gang_planner.py
+++ b/spurarch/coordination/admission/gang_planner.py
@@ -62,7 +62,7 @@
             self._failed.append(_FailedGang(requirements, count))
             return None
         state.zones_with_waiting_gang.add(zone_ahead)
-        state.queued_cpus[zone_ahead] += count * requirements.cpus
+        state.add_queued(requirements, zone_ahead, count)
         return zone_ahead
 
     def _is_known_not_to_fit(self, requirements: Requirements, count: int) -> bool:
--- a/spurarch/coordination/admission/planner.py
+++ b/spurarch/coordination/admission/planner.py
@@ -103,7 +103,7 @@
                 unplaced -= state.book_on_booting_machines(job.requirements, zone, unplaced)
                 if unplaced:
                     state.no_booting_capacity.add(job.requirements, zone)
-            state.queued_cpus[zone] += unplaced * job.requirements.cpus
+            state.add_queued(job.requirements, zone, unplaced)
         state.drop_full_machines()
 
     def _job_order(self, first_job: str | None) -> list[str]:
--- a/spurarch/coordination/admission/planning_state.py
+++ b/spurarch/coordination/admission/planning_state.py
@@ -4,9 +4,10 @@
 
 from collections import defaultdict
 from collections.abc import Iterable
+from functools import cached_property
 
 from spurarch.coordination.admission.negative_cache import NegativeCache
-from spurarch.coordination.fleet.capacity import EPSILON, MachineCapacity, Requirements, TentativeBookings
+from spurarch.coordination.fleet.capacity import MachineCapacity, Requirements, TentativeBookings
 from spurarch.coordination.fleet.fleet_view import FleetView
 from spurarch.coordination.fleet.job_view import JobView
 from spurarch.coordination.scheduling.best_fit import book_by_best_fit
@@ -37,10 +38,12 @@
             for capacity in view.capacities.values()
             if capacity.schedulable and capacity.zone not in unreachable
         ]
-        self.with_free_capacity = _by_zone(capacity for capacity in self.capacities if capacity.free_cpus > EPSILON)
+        self.with_free_capacity = _by_zone(capacity for capacity in self.capacities if capacity.has_free_capacity)
         self.booting = _by_zone(capacity for capacity in booting if capacity.zone not in unreachable)
         self.queued_cpus: dict[int, float] = defaultdict(float)  # by zone, of admitted tasks that wait for a machine
-        self.freed_cpus = _freed_cpus_by_zone(view, admit_ahead_s, unreachable)  # within `admit_ahead_s`
+        self.queued_tasks: dict[int, int] = defaultdict(int)  # by zone, the number of these tasks
+        # By zone, the CPUs and the number of tasks that running tasks are expected to free within `admit_ahead_s`.
+        self.freed_cpus, self._freed_tasks = _freed_by_zone(view, admit_ahead_s, unreachable)
         self.zones_with_waiting_gang: set[int] = set()
         self.no_free_capacity = NegativeCache()
         self.no_booting_capacity = NegativeCache()
@@ -55,11 +58,32 @@
         """Returns the CPUs that a zone is expected to free soon, less the CPUs of its queued tasks; can be negative."""
         return self.freed_cpus[zone] - self.queued_cpus[zone]
 
+    def slots_ahead(self, zone: int, cpus: float, cpus_per_task: float) -> int:
+        """Returns how many tasks a zone can be given ahead of time, for the given CPUs that it is expected to free.
+
+        A task also needs a machine that can be given another task. Such places are free now or will be freed soon.
+        """
+        spare_tasks = self._free_tasks[zone] + int(self._freed_tasks[zone]) - self.queued_tasks[zone]
+        return max(0, min(int(cpus / cpus_per_task), spare_tasks))
+
+    @cached_property
+    def _free_tasks(self) -> dict[int, int]:
+        """By zone, how many more tasks the machines can be given, as of the first use in the round."""
+        free: dict[int, int] = defaultdict(int)
+        for capacity in self.capacities:
+            free[capacity.zone] += max(0, capacity.free_tasks)
+        return free
+
+    def add_queued(self, requirements: Requirements, zone: int, count: int) -> None:
+        """Adds tasks that are admitted to a zone and wait there for a machine."""
+        self.queued_cpus[zone] += count * requirements.cpus
+        self.queued_tasks[zone] += count
+
     def drop_full_machines(self) -> None:
-        """Excludes machines without free CPUs from the later searches of the round."""
+        """Excludes machines without free capacity from the later searches of the round."""
         for capacities_by_zone in (self.with_free_capacity, self.booting):
             for zone, capacities in capacities_by_zone.items():
-                capacities_by_zone[zone] = [capacity for capacity in capacities if capacity.free_cpus > EPSILON]
+                capacities_by_zone[zone] = [capacity for capacity in capacities if capacity.has_free_capacity]
 
     def book_on_free_machines(self, requirements: Requirements, zone: int, count: int) -> int:
         """Books up to `count` equal tasks on free capacity of a zone; returns how many it booked."""
@@ -107,19 +131,23 @@
     return by_zone
 
 
-def _freed_cpus_by_zone(view: FleetView, admit_ahead_s: float, unreachable: set[int]) -> dict[int, float]:
-    """Returns, by zone, the CPUs that running tasks are expected to free within `admit_ahead_s`, except services.
+def _freed_by_zone(
+    view: FleetView, admit_ahead_s: float, unreachable: set[int]
+) -> tuple[dict[int, float], dict[int, float]]:
+    """Returns, by zone, the CPUs and the number of running tasks expected to end within `admit_ahead_s`.
 
-    The estimate is the run time that the user states for each job.
+    Services are left out. The estimate is the run time that the user states for each job.
     """
-    freed: dict[int, float] = defaultdict(float)
+    cpus: dict[int, float] = defaultdict(float)
+    tasks: dict[int, float] = defaultdict(float)
     if admit_ahead_s <= 0:
-        return freed
+        return cpus, tasks
     for job in view.jobs.values():
         if job.service or not job.assigned:
             continue
-        rate = admit_ahead_s * job.requirements.cpus * job.assigned / max(1, job.charged) / max(job.estimate_s, 1.0)
+        ending_share = admit_ahead_s * job.assigned / max(1, job.charged) / max(job.estimate_s, 1.0)
         for zone, count in job.tasks_by_zone.items():
             if zone not in unreachable:
-                freed[zone] += count * rate
-    return freed
+                cpus[zone] += count * ending_share * job.requirements.cpus
+                tasks[zone] += count * ending_share
+    return cpus, tasks
--- a/spurarch/coordination/fleet/capacity.py
+++ b/spurarch/coordination/fleet/capacity.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass, field, replace
 
+from spurarch.protocol.message_limits import MAX_TASKS_PER_MACHINE
+
 EPSILON = 1e-6  # tolerance for rounding in sums of CPUs, GPUs and gigabytes
 PRIORITIES = 4  # levels; 0 is the highest
 
@@ -45,8 +47,10 @@
 class MachineCapacity:
     """Total and free resources of one machine, its booked tasks and its cached images.
 
-    `used_by_priority` holds the booked CPUs, GPUs and gigabytes of memory for each priority. In the fleet view,
-    `images` holds the images of the tasks assigned to the machine last; some may not be fetched completely yet.
+    `free_tasks` is how many more tasks its worker's heartbeats can list. It is negative on a machine that an earlier
+    version gave too many tasks. `used_by_priority` holds the booked CPUs, GPUs, gigabytes of memory and number of tasks
+    for each priority. In the fleet view, `images` holds the images of the tasks assigned to the machine last; some may
+    not be fetched completely yet.
     """
 
     machine: int
@@ -61,8 +65,9 @@
     free_memory_gb: float
     images: set[int] = field(default_factory=set)
     tasks: int = 0
+    free_tasks: int = MAX_TASKS_PER_MACHINE
     schedulable: bool = True
-    used_by_priority: list[list[float]] = field(default_factory=lambda: [[0.0, 0.0, 0.0] for _ in range(PRIORITIES)])
+    used_by_priority: list[list[float]] = field(default_factory=lambda: [[0.0] * 4 for _ in range(PRIORITIES)])
 
     def book(self, requirements: Requirements, count: int = 1) -> None:
         """Books `count` tasks; a negative count removes bookings."""
@@ -71,10 +76,12 @@
         self.free_gpus -= gpus
         self.free_memory_gb -= memory
         self.tasks += count
+        self.free_tasks -= count
         used = self.used_by_priority[requirements.priority]
         used[0] += cpus
         used[1] += gpus
         used[2] += memory
+        used[3] += count
 
     def unbook(self, requirements: Requirements, count: int = 1) -> None:
         """Removes the bookings of `count` tasks."""
@@ -86,18 +93,25 @@
 
     def fits_by_preemption(self, requirements: Requirements) -> bool:
         """Whether the task would fit if all work of lower priority were preempted."""
-        cpus, gpus, memory = self.free_cpus, self.free_gpus, self.free_memory_gb
+        cpus, gpus, memory, tasks = self.free_cpus, self.free_gpus, self.free_memory_gb, float(self.free_tasks)
         for used in self.used_by_priority[requirements.priority + 1 :]:
             cpus += used[0]
             gpus += used[1]
             memory += used[2]
+            tasks += used[3]
         return (
-            requirements.cpus <= cpus + EPSILON
+            tasks >= 1
+            and requirements.cpus <= cpus + EPSILON
             and requirements.gpus <= gpus + EPSILON
             and requirements.memory_gb <= memory + EPSILON
             and self.satisfies_constraints(requirements)
         )
 
+    @property
+    def has_free_capacity(self) -> bool:
+        """Whether it has free CPUs and can be given another task."""
+        return self.free_cpus > EPSILON and self.free_tasks > 0
+
     def satisfies_constraints(self, requirements: Requirements) -> bool:
         """Whether machine type, spot and zone satisfy the task's constraints, regardless of free capacity."""
         return (
@@ -109,7 +123,8 @@
     def fits(self, requirements: Requirements) -> bool:
         """Whether the constraints allow the task here and the free capacity suffices."""
         return (
-            requirements.cpus <= self.free_cpus + EPSILON
+            self.free_tasks > 0
+            and requirements.cpus <= self.free_cpus + EPSILON
             and requirements.memory_gb <= self.free_memory_gb + EPSILON
             and requirements.gpus <= self.free_gpus + EPSILON
             and self.satisfies_constraints(requirements)
@@ -135,12 +150,13 @@
             free_cpus=self.free_cpus + sum(used[0] for used in lower),
             free_gpus=self.free_gpus + sum(used[1] for used in lower),
             free_memory_gb=self.free_memory_gb + sum(used[2] for used in lower),
+            free_tasks=self.free_tasks + int(sum(used[3] for used in lower)),
         )
         return after_preemption.task_slots(requirements, max_tasks) if self.satisfies_constraints(requirements) else 0
 
     def task_slots(self, requirements: Requirements, max_tasks: int) -> int:
         """Number of such tasks that the free resources fit, up to `max_tasks`; does not check constraints."""
-        count = float(max_tasks)
+        count = float(min(max_tasks, self.free_tasks))
         if requirements.cpus > 0:
             count = min(count, (self.free_cpus + EPSILON) // requirements.cpus)
         if requirements.memory_gb > 0:
@@ -150,6 +166,10 @@
         return max(0, int(count))
 
 
+# A task that its worker still lists although it uses no resources any more, or none that are known.
+LISTED_TASK = Requirements(0.0, 0.0, 0.0, None, True, image=-1)
+
+
 class TentativeBookings:
     """Bookings that a decision makes on shared tables and undoes at its end, which is cheaper than copying the tables.
 
--- a/spurarch/coordination/partition/machine.py
+++ b/spurarch/coordination/partition/machine.py
@@ -280,6 +280,11 @@
         """Whether it has no tasks, neither by the records nor by its newest message."""
         return not self.attempts and not self.unrecorded_tasks
 
+    @property
+    def listed_without_record(self) -> int:
+        """How many tasks its newest message lists that no record assigns to it: exits, and unrecorded tasks."""
+        return len(self.exits_to_forget) + len(self.unrecorded_tasks)
+
     def lists_unrecorded(self, task: wire.TaskStatus) -> bool:
         """Whether a task that its worker lists is not, or no longer, assigned to it.
 
--- a/spurarch/coordination/scaling/idle_machines.py
+++ b/spurarch/coordination/scaling/idle_machines.py
@@ -7,6 +7,7 @@
 from spurarch.coordination.partition.failures import FAILURES_BEFORE_QUARANTINE
 from spurarch.coordination.partition.machine import Machine, MachineState
 from spurarch.coordination.partition.partition import Partition
+from spurarch.protocol.message_limits import MAX_TASKS_PER_MACHINE
 from spurarch.settings import Tuning
 
 
@@ -15,7 +16,7 @@
 
     Draining machines and those with repeated task failures are returned at once. Others are returned if they are
     schedulable and were idle for `idle_release_s`, the partition has no unassigned tasks, and the rest of the fleet
-    keeps its headroom.
+    keeps its headroom in CPUs and in tasks that its machines may still be given.
     """
     unreachable = set(map(view.zones.index, view.unreachable_zones()))
     capacities = [
@@ -23,6 +24,8 @@
     ]
     total_cpus = sum(capacity.cpus for capacity in capacities)
     free_cpus = sum(max(0.0, capacity.free_cpus) for capacity in capacities)
+    total_tasks = MAX_TASKS_PER_MACHINE * len(capacities)
+    free_tasks = sum(max(0, capacity.free_tasks) for capacity in capacities)
     idle = []
     for capacity in view.capacities_by_zone[view.zones.index(partition.zone)].values():
         machine = partition.machines.get(view.machines.name(capacity.machine))
@@ -38,10 +41,13 @@
             or now - machine.idle_since < tuning.idle_release_s
             or not capacity.schedulable
             or free_cpus - capacity.cpus < tuning.headroom * (total_cpus - capacity.cpus)
+            or free_tasks - MAX_TASKS_PER_MACHINE < tuning.headroom * (total_tasks - MAX_TASKS_PER_MACHINE)
         ):
             continue
         free_cpus -= capacity.cpus
         total_cpus -= capacity.cpus
+        free_tasks -= MAX_TASKS_PER_MACHINE
+        total_tasks -= MAX_TASKS_PER_MACHINE
         idle.append(machine)
     return idle
 
--- a/spurarch/coordination/scaling/scale_out_planner.py
+++ b/spurarch/coordination/scaling/scale_out_planner.py
@@ -12,6 +12,7 @@
 from spurarch.coordination.fleet.capacity import EPSILON, MachineCapacity, Requirements
 from spurarch.coordination.fleet.fleet_view import FleetView
 from spurarch.protocol import wire
+from spurarch.protocol.message_limits import MAX_TASKS_PER_MACHINE
 
 MAX_MACHINES_PER_ORDER = 50
 MAX_MACHINES_PER_PLAN = 400
@@ -55,6 +56,8 @@
 class FreedCapacityEstimate:
     """Estimate of the capacity that running jobs other than services free while a requested machine boots.
 
+    A task that is to start on freed CPUs also needs a machine that can be given another task.
+
     Many running tasks end before a requested machine is ready, so machines are requested only for tasks that can't
     start on the capacity freed by then. Only `share` of the estimate is used, because run time estimates are often
     wrong and jobs submitted later need the same capacity.
@@ -68,14 +71,24 @@
             if not job.service
         )
         self._reserved_cpus = 0.0
+        freed_tasks_per_s = share * sum(
+            job.assigned / max(job.estimate_s, 1.0) for job in view.jobs.values() if not job.service
+        )
+        free_tasks = sum(max(0, capacity.free_tasks) for capacity in view.capacities.values() if capacity.schedulable)
+        self._unreserved_tasks = free_tasks + int(freed_tasks_per_s * self._boot_time_s)
 
     def reserve(self, shortage: CapacityShortage) -> int:
         """Reserves freed capacity for tasks of a shortage; returns how many of them need no requested machine."""
         if shortage.service or shortage.requirements.cpus <= 0:
             return 0
         freed = self._freed_cpus_per_s * self._boot_time_s
-        count = min(shortage.count, int(max(0.0, freed - self._reserved_cpus) / shortage.requirements.cpus))
+        count = min(
+            shortage.count,
+            int(max(0.0, freed - self._reserved_cpus) / shortage.requirements.cpus),
+            self._unreserved_tasks,
+        )
         self._reserved_cpus += count * shortage.requirements.cpus
+        self._unreserved_tasks -= count
         return count
 
 
@@ -148,7 +161,7 @@
                 booked = capacity.task_slots(shortage.requirements, count)
                 capacity.book(shortage.requirements, booked)
                 count -= booked
-        self._capacities = [capacity for capacity in self._capacities if capacity.free_cpus > EPSILON]
+        self._capacities = [capacity for capacity in self._capacities if capacity.has_free_capacity]
         return count
 
     def _order_machines(self, requirements: Requirements, count: int, zones: list[str]) -> None:
@@ -163,7 +176,7 @@
             booked = capacity.task_slots(requirements, count)
             capacity.book(requirements, booked)
             count -= booked
-            if capacity.free_cpus > EPSILON:
+            if capacity.has_free_capacity:
                 self._capacities.append(capacity)
 
     def _cheapest_kind(self, requirements: Requirements, count: int, zones: list[str]) -> MachineKind | None:
@@ -259,4 +272,4 @@
         )
         if required > 0
     ]
-    return min(slots, default=1)
+    return min([MAX_TASKS_PER_MACHINE, *slots])
--- a/spurarch/coordination/scheduling/best_fit.py
+++ b/spurarch/coordination/scheduling/best_fit.py
@@ -28,7 +28,8 @@
     return [
         capacity
         for capacity in capacities
-        if capacity.free_cpus >= cpus
+        if capacity.free_tasks > 0
+        and capacity.free_cpus >= cpus
         and capacity.free_memory_gb >= memory
         and capacity.free_gpus >= gpus
         and (spot or not capacity.spot)
--- a/spurarch/coordination/scheduling/local_search.py
+++ b/spurarch/coordination/scheduling/local_search.py
@@ -13,6 +13,7 @@
 from spurarch.coordination.partition.partition import Partition
 from spurarch.coordination.scheduling.best_fit import best_fit
 from spurarch.coordination.scheduling.tabu_search import PlacedTask, Search, SearchResult, Weights
+from spurarch.protocol.message_limits import MAX_TASKS_PER_MACHINE
 from spurarch.settings import Tuning
 
 
@@ -116,6 +117,7 @@
             # The records only show that a task with the image was assigned to the machine; the image may not have
             # been fetched completely.
             copy.images = machine.cached_images
+            copy.free_tasks -= machine.listed_without_record
             capacities.append(copy)
     machine_indices = {name: i for i, name in enumerate(machine_names)}
     movable = movable_replicas(partition, view, tuning)
@@ -145,12 +147,16 @@
 ) -> str | None:
     """Returns the machine with the fewest booked CPUs that may be drained, or None.
 
-    A machine may be drained if it has tasks, all its long-running tasks are movable, and the CPUs booked in the
-    partition stay within the consolidation cap of the remaining machines.
+    A machine may be drained if it has tasks, all its long-running tasks are movable, and both the CPUs booked in the
+    partition and the number of its tasks stay within the consolidation cap of the remaining machines.
     """
     schedulable = [i for i, name in enumerate(machine_names) if partition.machines[name].is_schedulable(now)]
     booked_cpus = sum(capacities[i].cpus - capacities[i].free_cpus for i in schedulable)
     total_cpus = sum(capacities[i].cpus for i in schedulable)
+    booked_tasks = sum(MAX_TASKS_PER_MACHINE - capacities[i].free_tasks for i in schedulable)
+    max_tasks_of_rest = tuning.consolidation_cap * MAX_TASKS_PER_MACHINE * (len(schedulable) - 1)
+    if booked_tasks > max_tasks_of_rest:
+        return None
     tasks_by_machine: dict[int, list[PlacedTask]] = {}
     for task in tasks:
         tasks_by_machine.setdefault(task.machine, []).append(task)
--- a/spurarch/coordination/scheduling/placement.py
+++ b/spurarch/coordination/scheduling/placement.py
@@ -6,9 +6,11 @@
 from itertools import groupby
 from typing import NamedTuple
 
+from spurarch.coordination.fleet.capacity import LISTED_TASK
 from spurarch.coordination.fleet.fleet_view import FleetView
 from spurarch.coordination.fleet.job_view import JobView
 from spurarch.coordination.partition.allocation_changes import is_uncancelled_job
+from spurarch.coordination.partition.machine import AttemptPhase
 from spurarch.coordination.partition.partition import Partition
 from spurarch.coordination.scheduling.array_placement import ArrayPlacement
 from spurarch.coordination.scheduling.gang_placement import GangPlacement
@@ -112,6 +114,7 @@
     def run(self, out_of_time: Callable[[], bool], max_allocations: int) -> None:
         """Places allocations until all are handled, time runs out or `max_allocations` of them have changed."""
         self._unbook_terminal_attempts()
+        self._round.capacities.book_listed_tasks()
         self._moved_replicas.reserve()
         self._round.capacities.collect_with_free_capacity()
         self._book_pending_changes()
@@ -129,7 +132,10 @@
                     step.place(allocation, jobs[allocation.job])
 
     def _unbook_terminal_attempts(self) -> None:
-        """Frees the capacity of terminal attempts at once, before their end is recorded."""
+        """Frees the capacity of terminal attempts at once, before their end is recorded.
+
+        A worker lists an exited task until it is told to forget it, so only its resources are free.
+        """
         capacities = self._round.capacities
         for allocation, attempts in self._round.partition.terminal_attempts.items():
             job = self._round.view.jobs.get(allocation.job)
@@ -137,6 +143,8 @@
                 capacity = capacities.by_name.get(attempt.machine)
                 if job is not None and capacity is not None and not self._round.partition.state.runs_again(attempt):
                     capacities.bookings.book(capacity, job.requirements, -1)
+                    if attempt.phase is AttemptPhase.EXITED:
+                        capacities.bookings.book(capacity, LISTED_TASK)
 
     def _book_pending_changes(self) -> None:
         """Books the capacity of assignments that wait to be committed."""
--- a/spurarch/coordination/scheduling/priority_preemption.py
+++ b/spurarch/coordination/scheduling/priority_preemption.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from spurarch.coordination.fleet.capacity import EPSILON, MachineCapacity, Requirements, TentativeBookings
+from spurarch.coordination.fleet.capacity import MachineCapacity, Requirements, TentativeBookings
 from spurarch.coordination.fleet.job_view import JobView
 from spurarch.coordination.partition.machine import TaskAttempt
 from spurarch.coordination.scheduling.placement_round import PlacementRound
@@ -29,7 +29,7 @@
         if priority not in self._has_lower_priority:
             schedulable = self._round.capacities.schedulable
             used = (used for capacity in schedulable for used in capacity.used_by_priority[priority + 1 :])
-            self._has_lower_priority[priority] = any(cpus > EPSILON for cpus, *_ in used)
+            self._has_lower_priority[priority] = any(tasks > 0 for *_, tasks in used)
         return self._has_lower_priority[priority]
 
     def preempt_for_task(self, key: TaskKey, requirements: Requirements) -> bool:
--- a/spurarch/coordination/scheduling/round_capacities.py
+++ b/spurarch/coordination/scheduling/round_capacities.py
@@ -4,7 +4,7 @@
 
 from functools import cached_property
 
-from spurarch.coordination.fleet.capacity import EPSILON, MachineCapacity, Requirements, TentativeBookings
+from spurarch.coordination.fleet.capacity import LISTED_TASK, MachineCapacity, Requirements, TentativeBookings
 from spurarch.coordination.fleet.fleet_view import FleetView
 from spurarch.coordination.partition.machine import Machine
 from spurarch.coordination.partition.partition import Partition
@@ -20,7 +20,7 @@
         bookings: Bookings that the round has made on the fleet view.
         schedulable: Machines that take new tasks and whose last heartbeat is at most `max_silence_s` ago, without
             machines excluded in this round.
-        with_free_capacity: Machines of `schedulable` that have free CPUs and are not reserved for gangs; empty until
+        with_free_capacity: Machines of `schedulable` that can take tasks and are not reserved for gangs; empty until
             `collect_with_free_capacity` is called.
         reserved_for_gangs: Machines that arrays must not use; service replicas that fit nowhere else use them.
     """
@@ -63,13 +63,20 @@
         """Returns the partition's state of the machine."""
         return self._partition.machines[self._machine_names.name(capacity.machine)]
 
+    def book_listed_tasks(self) -> None:
+        """Books a place for each task that a worker lists without a record, until the worker is told to forget it."""
+        for capacity in self.schedulable:
+            listed = self.machine_of(capacity).listed_without_record
+            if listed:
+                self.bookings.book(capacity, LISTED_TASK, listed)
+
     def collect_with_free_capacity(self) -> None:
-        """Sets `with_free_capacity` to all schedulable machines with free CPUs."""
-        self.with_free_capacity = [capacity for capacity in self.schedulable if capacity.free_cpus > EPSILON]
+        """Sets `with_free_capacity` to all schedulable machines with free capacity."""
+        self.with_free_capacity = [capacity for capacity in self.schedulable if capacity.has_free_capacity]
 
     def drop_full_machines(self) -> None:
-        """Removes machines without free CPUs from `with_free_capacity`."""
-        self.with_free_capacity = [capacity for capacity in self.with_free_capacity if capacity.free_cpus > EPSILON]
+        """Removes machines without free capacity from `with_free_capacity`."""
+        self.with_free_capacity = [capacity for capacity in self.with_free_capacity if capacity.has_free_capacity]
 
     def reserve_for_gangs(self, machines: frozenset[int]) -> None:
         """Adds machines to `reserved_for_gangs` and removes them from `with_free_capacity`."""
@@ -77,7 +84,7 @@
         self.with_free_capacity = [capacity for capacity in self.with_free_capacity if capacity.machine not in machines]
 
     def not_reserved_for_gangs(self) -> list[MachineCapacity]:
-        """Returns the schedulable machines that are not reserved for gangs, also those without free CPUs."""
+        """Returns the schedulable machines that are not reserved for gangs, also those without free capacity."""
         reserved = {capacity.machine for capacity in self.reserved_for_gangs}
         return [capacity for capacity in self.schedulable if capacity.machine not in reserved]
 
--- a/spurarch/coordination/scheduling/task_return.py
+++ b/spurarch/coordination/scheduling/task_return.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import dataclass
 
 from spurarch.coordination.fleet.job_view import JobView
 from spurarch.coordination.partition.gang import GangAttempt
@@ -16,13 +17,30 @@
 MAX_SLOTS_PER_MACHINE = 100  # more slots on one machine are not counted
 
 
+@dataclass(slots=True)
+class _Queue:
+    """Number and CPUs of tasks that wait for a machine."""
+
+    cpus: float = 0.0
+    tasks: int = 0
+
+    def add(self, cpus: float, tasks: int) -> None:
+        """Adds tasks and their CPUs."""
+        self.cpus += cpus
+        self.tasks += tasks
+
+    def slots_left(self, cpus: float, slots: int) -> int:
+        """Returns how many of the slots, each with the given CPUs, remain if the queue uses its CPUs first."""
+        return slots - int(self.cpus / cpus) if cpus > 0 else slots
+
+
 class ReturnPolicy:
     """Decides during one round which waiting tasks are returned to the leader."""
 
     def __init__(self, current_round: PlacementRound) -> None:
         self._round = current_round
         self._slots_elsewhere: dict[tuple[object, ...], int] = {}  # remaining slots in other partitions, by task shape
-        self._queued_cpus: dict[int, dict[int, float]] | None = None  # by zone and priority
+        self._queued: dict[int, dict[int, _Queue]] | None = None  # by zone and priority
 
     def max_wait_s(self) -> float:
         """Returns how many seconds a task waits before it may be returned.
@@ -76,9 +94,10 @@
     def _count_slots_elsewhere(self, job: JobView) -> int:
         """Returns the slots for tasks of the job in other partitions, without those that the queues there will use."""
         view, requirements = self._round.view, job.requirements
-        queued_cpus = self._queued_cpus_by_zone(requirements.priority)
+        queued = self._queued_by_zone(requirements.priority)
         excluded = set(map(view.zones.index, (self._round.partition.zone, *view.unreachable_zones())))
         slots: dict[int, int] = {}
+        free_tasks: dict[int, int] = {}
         for capacity in view.capacities.values():
             if (
                 not capacity.schedulable
@@ -91,25 +110,27 @@
             else:
                 count = int(job.service and capacity.fits_by_preemption(requirements))
             slots[capacity.zone] = slots.get(capacity.zone, 0) + count
-        if requirements.cpus <= 0:
-            return sum(slots.values())
-        return sum(max(0, count - int(queued_cpus[zone] / requirements.cpus)) for zone, count in slots.items())
-
-    def _queued_cpus_by_zone(self, priority: int) -> dict[int, float]:
-        """Returns by zone the CPUs required by unassigned tasks of the given or a higher priority."""
-        if self._queued_cpus is None:
-            self._queued_cpus = self._collect_queued_cpus()
-        by_zone: dict[int, float] = defaultdict(float)
-        for zone, cpus_by_priority in self._queued_cpus.items():
-            for queued_priority, cpus in cpus_by_priority.items():
+            free_tasks[capacity.zone] = free_tasks.get(capacity.zone, 0) + max(count, capacity.free_tasks)
+        return sum(
+            max(0, min(queued[zone].slots_left(requirements.cpus, count), free_tasks[zone] - queued[zone].tasks))
+            for zone, count in slots.items()
+        )
+
+    def _queued_by_zone(self, priority: int) -> dict[int, _Queue]:
+        """Returns by zone what the unassigned tasks of the given or a higher priority will use."""
+        if self._queued is None:
+            self._queued = self._collect_queued()
+        by_zone: dict[int, _Queue] = defaultdict(_Queue)
+        for zone, by_priority in self._queued.items():
+            for queued_priority, queue in by_priority.items():
                 if queued_priority <= priority:
-                    by_zone[zone] += cpus
+                    by_zone[zone].add(queue.cpus, queue.tasks)
         return by_zone
 
-    def _collect_queued_cpus(self) -> dict[int, dict[int, float]]:
+    def _collect_queued(self) -> dict[int, dict[int, _Queue]]:
         view = self._round.view
-        queued: dict[int, dict[int, float]] = defaultdict(lambda: defaultdict(float))
+        queued: dict[int, dict[int, _Queue]] = defaultdict(lambda: defaultdict(_Queue))
         for allocation, job, count, _ in view.allocations_with_unassigned_tasks():
             zone = view.zones.index(allocation.zone)
-            queued[zone][job.requirements.priority] += count * job.requirements.cpus
+            queued[zone][job.requirements.priority].add(count * job.requirements.cpus, count)
         return queued
--- a/spurarch/protocol/wire.py
+++ b/spurarch/protocol/wire.py
@@ -15,11 +15,14 @@
 T = TypeVar("T")
 
 MAX_TASKS = 100_000  # of one job
-JOB_ID_PATTERN = re.compile(r"job-[0-9]{1,24}")
+MAX_JOB_ID_DIGITS = 24
+JOB_ID_PATTERN = re.compile(rf"job-[0-9]{{1,{MAX_JOB_ID_DIGITS}}}")
+MAX_COUNT = 2**63 - 1
+MAX_NAME_LENGTH = 160  # characters
 
 Amount = Annotated[float, Meta(ge=0, le=1e9)]
-Count = Annotated[int, Meta(ge=0, le=2**63 - 1)]
-Name = Annotated[str, Meta(min_length=1, max_length=160)]
+Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
 
 # Paths of the HTTP interfaces; those without a leading slash are the last segment of a path.
 PATH_JOBS = "/submissions"
@@ -46,11 +49,23 @@
 REASON_DONE, REASON_ERROR, REASON_STOPPED = "done", "error", "halted"
 REASON_PEER_LOST, REASON_GANG_INCOMPLETE = "peers", "incomplete"
 REASON_NO_CAPACITY, REASON_TASK_PRESENT, REASON_UNKNOWN_TASK = "full", "in_use", "no_such"
+TASK_STATES = (FETCHING, GATHERING, RUNNING, CHECKPOINTING, EXITED)
+EXIT_REASONS = (
+    REASON_DONE,
+    REASON_ERROR,
+    REASON_STOPPED,
+    REASON_PEER_LOST,
+    REASON_GANG_INCOMPLETE,
+    REASON_NO_CAPACITY,
+    REASON_TASK_PRESENT,
+    REASON_UNKNOWN_TASK,
+)
 
 MAX_CLOCK_RATE_RATIO = 1.001  # of the monotonic clocks of two machines, which drift apart by at most 0.05%
 
 # Commands to workers
 START, STOP, FORGET = "run", "halt", "forget"
+COMMANDS = (START, STOP, FORGET)
 # States of machines in the cloud's list
 BOOTING, FAILED = "booting", "failed"
 
--- a/tests/sim/fleet.py
+++ b/tests/sim/fleet.py
@@ -17,6 +17,8 @@
 from tests.sim.net import SimLinks
 from tests.sim.store import json_response
 
+MAX_MESSAGE_BYTES = 64 * 1024  # of a request body, and of a line in a response to workers and users
+
 
 @dataclass
 class SimTask:
@@ -97,6 +99,12 @@
         times = self.run_s[job]
         return times[index % len(times)]
 
+    def check_message(self, message: str, body: bytes) -> bool:
+        """Returns whether a message is as short as the protocol asks; records a violation if not."""
+        if len(body) > MAX_MESSAGE_BYTES:
+            self.record_violation(f"too_long: {message} has {len(body)} bytes")
+        return len(body) <= MAX_MESSAGE_BYTES
+
     def record_violation(self, text: str) -> None:
         """Records a violation with the present time."""
         self.checks.violations.append(f"at {self.clock.now - 1000:.2f}: {text}")
@@ -204,7 +212,9 @@
         return response
 
     def _execute_direct(self, request: Request) -> Response:
-        """Executes direct commands, unless the token or the incarnation of the request forbids it."""
+        """Executes direct commands, unless their size, or the token or the incarnation of the request, forbids it."""
+        if not self.world.check_message(f"request to {self.name}", request.body):
+            return json_response(413, {})
         body = json.loads(request.body)
         if body["baton"] < self.token or body["tenure"] != self.incarnation:
             return json_response(409, self.heartbeat())
@@ -337,6 +347,8 @@
         sent_at, incarnation = self.world.clock.now, self.incarnation
         name, address = self.nodes[self.node]
         body = json.dumps(self.heartbeat()).encode()
+        if not self.world.check_message(f"heartbeat of {self.name} with {len(self.tasks)} tasks", body):
+            return
         self.sent_heartbeats.append((address, body))
         if sent_at < self.world.late_heartbeats_until and self.world.random.random() < self.world.late_heartbeats_share:
             await curio.spawn(self._deliver_late_copy, address, body, daemon=True)
@@ -358,7 +370,7 @@
                 await self._next_node()
         elif response.status != 200:
             await self._next_node()
-        else:
+        elif self.world.check_message(f"response to {self.name}", response.body):
             answered = json.loads(response.body)
             if answered["baton"] < self.token or incarnation != self.incarnation:
                 return
--- a/tests/test_transaction_limits.py
+++ b/tests/test_transaction_limits.py
@@ -45,7 +45,7 @@
 from tests.test_scale import submission
 
 JOB = "job-1"
-MACHINE_CPUS = 20_000.0  # one machine has room for all tasks of a test
+MACHINES, MACHINE_CPUS = 40, 1_000.0  # together they have room for all tasks of a test
 
 
 class Admissions:
@@ -63,7 +63,8 @@
         self.admitted = sum(len(source.tasks) for source in sources)
         self.tasks = self.admitted + new_tasks
         self._put(records.JOB + JOB, JobRecord(submission(JOB, self.tasks), 0.0))
-        self._put(records.machine_key("b", "vm-1"), MachineRecord("big", False, "10.1.0.1:9000"))
+        for number in range(1, MACHINES + 1):
+            self._put(records.machine_key("b", f"vm-{number}"), MachineRecord("big", False, "10.1.0.1:9000"))
         if sources:
             self._put(records.ADMISSION + JOB, AdmissionRecord(self.admitted, len(sources)))
         for chunk, source in enumerate(sources):
