Limit the commands in one message to the protocol's size

Seen by callers: nothing yet, as too many tasks on a machine showed first. A worker would refuse direct commands over 64 KiB as a whole, and the same ones would be planned again; a heartbeat response with a line over 64 KiB would be dropped until the lease ends.

Cause: CommandPlanner planned all commands that a machine needs into one message.

What is left out is planned again for the next message, and neither its start nor its forget is noted, nor the token raised for it. An attempt that an earlier version assigned to a machine beyond the limit of tasks is started once its worker can list it. The responses during a rebuild and the stops before the records are read have the same limit.

--- a/spurarch/coordination/partition/commands.py
+++ b/spurarch/coordination/partition/commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Iterable, Sequence
 
 from spurarch.coordination.partition.ended_attempts import CommandPath, SentCommand
@@ -16,6 +17,7 @@
 )
 from spurarch.coordination.partition.state import ArchiveCoverage, PartitionContext, PartitionState
 from spurarch.protocol import wire
+from spurarch.protocol.message_limits import MAX_COMMANDS_PER_MESSAGE, MAX_TASKS_PER_MACHINE
 from spurarch.storage.records import TaskKey
 
 log = logging.getLogger(__name__)
@@ -38,35 +40,70 @@
         All commands are idempotent, except that a start repeated after a forget runs the attempt again. Forgets come
         before starts, so that a worker does not refuse a task whose earlier attempt it still lists.
 
+        A message carries at most `MAX_COMMANDS_PER_MESSAGE`; stops are preferred to forgets, and forgets to starts. A
+        command that is left out is planned again for the next message. Until then, nothing is noted as sent, and the
+        token is not raised for it.
+
         Args:
             machine: The worker's machine.
             heartbeat: The heartbeat that is answered, or None for direct commands.
             absent: Attempts to be stopped that the heartbeat doesn't list, and that the worker could still start.
         """
         path = CommandPath.DIRECT if heartbeat is None else CommandPath.HEARTBEAT_RESPONSE
+        stops = self._stops(machine)
+        forgets = self._forgets(machine, path, absent, MAX_COMMANDS_PER_MESSAGE - len(stops))
+        starts = self._starts(machine, path, MAX_COMMANDS_PER_MESSAGE - len(stops) - len(forgets))
+        out = forgets + stops + starts
+        if out and log.isEnabledFor(logging.DEBUG):
+            self._log_planned(machine, path, out)
+        return out
+
+    def _stops(self, machine: Machine) -> list[wire.Command]:
+        """Returns the stops that one message can carry, those of the jobs that were cancelled first before others."""
+        stopping = [
+            attempt
+            for attempt in machine.attempts.values()
+            if attempt.stop_requested and attempt.phase < AttemptPhase.EXITED and not self._is_checkpointing(attempt)
+        ]
+        if len(stopping) > MAX_COMMANDS_PER_MESSAGE:
+            stopping.sort(key=_cancellation_order)
+        return (self.unrecorded_stops(machine) + [_stop(attempt) for attempt in stopping])[:MAX_COMMANDS_PER_MESSAGE]
+
+    def _forgets(
+        self, machine: Machine, path: CommandPath, absent: Sequence[TaskAttempt], max_commands: int
+    ) -> list[wire.Command]:
+        """Returns forgets for exited attempts whose starts the worker rejects; a heartbeat response raises the token.
+
+        It is also raised for the attempts in `absent`.
+        """
         exits = self._exits_to_forget(machine)
-        if heartbeat is not None:
+        if path is CommandPath.HEARTBEAT_RESPONSE:
+            exits = exits[:max_commands]
             self._reject_starts(machine, [*exits, *absent])
-        out = [
+        return [
             self._forget(machine, exited, path)
             for exited in exits
             if rejects_start(machine.token_counter, exited.start_token_counter)
-        ]
-        out += self.unrecorded_stops(machine)
+        ][:max_commands]
+
+    def _starts(self, machine: Machine, path: CommandPath, max_commands: int) -> list[wire.Command]:
+        """Returns starts, and moves the attempts that are started for the first time to STARTING."""
+        out: list[wire.Command] = []
+        free_tasks = _free_tasks(machine)
         for attempt in machine.attempts.values():
-            if attempt.stop_requested:
-                if attempt.phase < AttemptPhase.EXITED and not self._is_checkpointing(attempt):
-                    out.append(wire.Command(wire.STOP, wire.task_name(*attempt.key), attempt.number, attempt.grace_s))
-            elif (
-                attempt.phase in (AttemptPhase.ASSIGNED, AttemptPhase.STARTING)
-                and attempt.incarnation == machine.incarnation
-                and self._may_start(attempt)
-            ):
-                self._state.transition(attempt, AttemptPhase.STARTING)
-                machine.start_planned(attempt, path)
-                out.append(wire.Command(wire.START, wire.task_name(*attempt.key), attempt.number))
-        if out and log.isEnabledFor(logging.DEBUG):
-            self._log_planned(machine, path, out)
+            if len(out) >= max_commands:
+                break
+            if attempt.stop_requested or attempt.phase > AttemptPhase.STARTING:
+                continue
+            if attempt.incarnation != machine.incarnation or not self._may_start(attempt):
+                continue
+            if attempt.phase is AttemptPhase.ASSIGNED:
+                if free_tasks <= 0:
+                    continue
+                free_tasks -= 1
+            self._state.transition(attempt, AttemptPhase.STARTING)
+            machine.start_planned(attempt, path)
+            out.append(wire.Command(wire.START, wire.task_name(*attempt.key), attempt.number))
         return out
 
     def _log_planned(self, machine: Machine, path: CommandPath, commands: list[wire.Command]) -> None:
@@ -160,7 +197,16 @@
             wire.Command(wire.STOP, task.task, task.attempt, 0.0)
             for task in heartbeat.tasks
             if task.state != wire.EXITED and (self._is_cancelled(task) or self._has_ended(machine, task))
+        ][:MAX_COMMANDS_PER_MESSAGE]
+
+    def stops_before_records(self, machine: Machine) -> list[wire.Command]:
+        """Returns the stops without a grace period, as of the tasks of cancelled jobs, before the records are read."""
+        attempts = [
+            attempt
+            for attempt in machine.attempts.values()
+            if attempt.stop_requested and attempt.grace_s == 0 and attempt.phase < AttemptPhase.EXITED
         ]
+        return ([_stop(attempt) for attempt in attempts] + self.unrecorded_stops(machine))[:MAX_COMMANDS_PER_MESSAGE]
 
     def _must_stop(self, machine: Machine, task: wire.TaskStatus) -> bool:
         """Whether a task in `machine.unrecorded_tasks` has to be stopped.
@@ -193,8 +239,14 @@
         """
         if machine.state is not MachineState.ACTIVE:
             return False
+        may_start = _free_tasks(machine) > 0
         return any(self._must_stop(machine, task) for task in machine.unrecorded_tasks) or any(
-            (attempt.phase is AttemptPhase.ASSIGNED and not attempt.stop_requested and self._may_start(attempt))
+            (
+                may_start
+                and attempt.phase is AttemptPhase.ASSIGNED
+                and not attempt.stop_requested
+                and self._may_start(attempt)
+            )
             or (
                 attempt.stop_requested
                 and AttemptPhase.STARTING <= attempt.phase <= AttemptPhase.RUNNING
@@ -202,3 +254,25 @@
             )
             for attempt in machine.attempts.values()
         )
+
+
+def _stop(attempt: TaskAttempt) -> wire.Command:
+    return wire.Command(wire.STOP, wire.task_name(*attempt.key), attempt.number, attempt.grace_s)
+
+
+def _cancellation_order(attempt: TaskAttempt) -> float:
+    return attempt.job_cancelled_at if attempt.job_cancelled_at is not None else math.inf
+
+
+def _free_tasks(machine: Machine) -> int:
+    """Returns how many more attempts can be started without more tasks on the machine than a heartbeat can list.
+
+    The records may assign more to it: an earlier version did not limit the number of tasks.
+    """
+    listed = machine.listed_without_record
+    if len(machine.attempts) + listed <= MAX_TASKS_PER_MACHINE:
+        return MAX_TASKS_PER_MACHINE
+    started = sum(
+        AttemptPhase.STARTING <= attempt.phase <= AttemptPhase.EXITED for attempt in machine.attempts.values()
+    )
+    return MAX_TASKS_PER_MACHINE - listed - started
--- a/spurarch/coordination/partition/direct_commands.py
+++ b/spurarch/coordination/partition/direct_commands.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from spurarch.coordination.partition.commands import CommandPlanner
-from spurarch.coordination.partition.machine import AttemptPhase, Machine, MachineState
+from spurarch.coordination.partition.machine import Machine, MachineState
 from spurarch.coordination.partition.state import PartitionState
 from spurarch.coordination.partition.statuses import StatusUpdater
 from spurarch.coordination.partition.stopping import StopRequests
@@ -31,21 +31,12 @@
         if self._state.records_read:
             commands = self._commands.plan(machine, None)
         else:
-            commands = self._immediate_stops(machine) + self._commands.unrecorded_stops(machine)
+            commands = self._commands.stops_before_records(machine)
         if not commands:
             return None
         machine.commands_in_flight += 1
         return wire.DirectCommands(self._state.fencing_token(machine), machine.incarnation, commands)
 
-    @staticmethod
-    def _immediate_stops(machine: Machine) -> list[wire.Command]:
-        """Returns the stops without a grace period, as of the tasks of cancelled jobs."""
-        return [
-            wire.Command(wire.STOP, wire.task_name(*attempt.key), attempt.number, 0.0)
-            for attempt in machine.attempts.values()
-            if attempt.stop_requested and attempt.grace_s == 0 and attempt.phase < AttemptPhase.EXITED
-        ]
-
     def on_response(
         self, machine: Machine, sent: wire.DirectCommands, heartbeat: wire.Heartbeat | None, now: float
     ) -> None:
--- a/spurarch/recovery/heartbeat_collector.py
+++ b/spurarch/recovery/heartbeat_collector.py
@@ -15,6 +15,7 @@
 
 from spurarch.coordination.partition.state import TOKEN_BITS
 from spurarch.protocol import wire
+from spurarch.protocol.message_limits import MAX_COMMANDS_PER_MESSAGE
 from spurarch.protocol.recovery_messages import HeartbeatsPage
 from spurarch.transport.http_messages import Response, error_response
 
@@ -64,7 +65,7 @@
         return Response(200, wire.encode(wire.HeartbeatResponse(self.token, self._stop_commands(heartbeat))))
 
     def _stop_commands(self, heartbeat: wire.Heartbeat) -> list[wire.Command]:
-        """Returns commands that stop cancelled tasks.
+        """Returns commands that stop cancelled tasks, as many as a response can carry.
 
         They don't wait for the records, so cancelled tasks end in time however long the rebuild takes.
         """
@@ -72,7 +73,7 @@
             wire.Command(wire.STOP, task.task, task.attempt, 0.0)
             for task in heartbeat.tasks
             if task.state != wire.EXITED and (key := wire.split_task(task.task)) and self._is_cancelled(key[0])
-        ]
+        ][:MAX_COMMANDS_PER_MESSAGE]
 
     def _add(self, heartbeat: wire.Heartbeat) -> None:
         known = self._heartbeats.get(heartbeat.machine)
