Refuse and log messages that their receivers would refuse for their size

Cause: nothing noticed a message that is too long.

Change: the clients of workers, the state service and the cloud, the channel between controllers, and the router of responses to workers and users check the size in one place (transport/message_size.py) before they send. What is too long is logged as an error with a count and is not sent. New warnings: `request body too long` with target, bytes and the beginning of the body, which names the machine of a heartbeat; `worker lists more tasks than a heartbeat can hold`, from the worker's answer to direct commands; `releasing machine with repeatedly started tasks`. Any message of a scenario's controllers that is too long is a problem of that scenario.

Not done: a heartbeat that is refused is not read to its end, so its line has no number of tasks.

--- a/spurarch/coordination/api/routes.py
+++ b/spurarch/coordination/api/routes.py
@@ -13,6 +13,8 @@
 from spurarch.protocol import wire
 from spurarch.storage.replica import Replica
 from spurarch.transport.http import Request, Response
+from spurarch.transport.http_messages import MAX_BODY_BYTES
+from spurarch.transport.message_size import MessageTooLongError, check_size
 
 if TYPE_CHECKING:
     from spurarch.coordination.extension import Recovery
@@ -36,11 +38,18 @@
         self._replica, self._reachability = replica, reachability
 
     async def handle(self, request: Request) -> Response:
-        """Returns the response to a request, or 503 if handling it took more than `REQUEST_TIMEOUT_S`."""
+        """Returns the response to a request, or 503 if handling it took more than `REQUEST_TIMEOUT_S`.
+
+        Bodies of responses are a single line, so they have the limit of a line.
+        """
         received_at = time.monotonic()
         response = await self._route(request)
         if time.monotonic() - received_at > REQUEST_TIMEOUT_S:
             return api_error(503, "too late to answer")
+        try:
+            check_size(response.body, MAX_BODY_BYTES, "response", request.target)
+        except MessageTooLongError:
+            return api_error(500, "the response is too long")
         return response
 
     async def _route(self, request: Request) -> Response:
--- a/spurarch/coordination/partition/command_sender.py
+++ b/spurarch/coordination/partition/command_sender.py
@@ -14,6 +14,7 @@
 from spurarch.coordination.partition.owned_partition import OwnedPartition
 from spurarch.protocol import wire
 from spurarch.transport.http import NoAnswerError
+from spurarch.transport.http_messages import MAX_BODY_BYTES
 from spurarch.transport.network import Network, RequestClient
 
 if TYPE_CHECKING:
@@ -113,6 +114,13 @@
         if status in (OK, CONFLICT):
             try:
                 heartbeat = wire.heartbeat_decoder.decode(body)
+                if len(body) > MAX_BODY_BYTES:
+                    log.warning(
+                        "worker lists more tasks than a heartbeat can hold machine=%s tasks=%d bytes=%d",
+                        machine.name,
+                        len(heartbeat.tasks),
+                        len(body),
+                    )
             except msgspec.DecodeError as err:
                 log.warning("cannot decode worker response machine=%s error=%s", machine.name, err)
         partition.direct_commands.on_response(machine, request, heartbeat, time.monotonic())
--- a/spurarch/coordination/scaling/machine_releaser.py
+++ b/spurarch/coordination/scaling/machine_releaser.py
@@ -22,6 +22,7 @@
 RELEASE_RETRY_S = 1.0
 MAX_MACHINES_PER_RELEASE = 100
 CORDON_TIMEOUT_S = 3.0
+REPEATED_ATTEMPTS = 3  # a task with as many attempts was started repeatedly
 
 
 class MachineReleaser:
@@ -54,6 +55,7 @@
         for machine in machines:
             state = "responses-lost" if machine.responses_lost else machine.state.value
             log.info("releasing machine machine=%s state=%s tasks=%d", machine.name, state, len(machine.attempts))
+            _log_repeated_tasks(machine)
         # Checked again right before the request is sent: the rate limiter may delay it, or this process may stall.
         await self._release(
             owned,
@@ -142,6 +144,18 @@
         return True
 
 
+def _log_repeated_tasks(machine: Machine) -> None:
+    """Logs a machine that is released with tasks most of which were started repeatedly before."""
+    repeated = sum(attempt.number >= REPEATED_ATTEMPTS for attempt in machine.attempts.values())
+    if 2 * repeated > len(machine.attempts):
+        log.warning(
+            "releasing machine with repeatedly started tasks machine=%s tasks=%d repeated=%d",
+            machine.name,
+            len(machine.attempts),
+            repeated,
+        )
+
+
 def _reset_unreleased(machines: list[Machine]) -> None:
     """Clears `releasing` of machines that were not released, so that they can get tasks or be released later.
 
--- a/spurarch/transport/frames.py
+++ b/spurarch/transport/frames.py
@@ -7,6 +7,7 @@
 import curio
 
 from spurarch.transport import sockets
+from spurarch.transport.message_size import MessageTooLongError, check_size
 
 MAX_FRAME_BYTES = 1024 * 1024  # bytes; the answer to a ping lists every cancelled job that is not terminal
 FRAME_TIMEOUT_S = 60.0  # to read or write a frame; also closes idle connections
@@ -35,7 +36,8 @@
 
 
 async def write_frame(sock: curio.io.Socket, data: bytes) -> None:
-    """Writes one frame."""
+    """Writes one frame. Raises MessageTooLongError if the receiver would refuse it."""
+    check_size(data, MAX_FRAME_BYTES, "frame", "peer controller")
     await sock.sendall(len(data).to_bytes(4, "big") + data)
 
 
@@ -68,7 +70,10 @@
         self._lock = curio.Lock()
 
     async def call(self, frame: bytes, timeout_s: float) -> bytes | None:
-        """Sends a request frame and returns the response; None on a network error or after `timeout_s` seconds."""
+        """Sends a request frame and returns the response.
+
+        Returns None on a network error, after `timeout_s` seconds, or if the frame is too long.
+        """
         try:
             async with curio.timeout_after(timeout_s), self._lock:
                 try:
@@ -81,5 +86,5 @@
                     if sock is not None:
                         await sock.close()
                     raise
-        except (OSError, curio.TaskTimeout):
+        except (OSError, curio.TaskTimeout, MessageTooLongError):
             return None
--- a/spurarch/transport/http.py
+++ b/spurarch/transport/http.py
@@ -11,8 +11,10 @@
 from spurarch.transport import sockets
 from spurarch.transport.http_messages import (
     CONTINUE_RESPONSE,
+    MAX_BODY_BYTES,
     Handler,
     MessageError,
+    RefusedBody,
     Request,
     RequestParser,
     Response,
@@ -21,6 +23,7 @@
     render_request,
     render_response,
 )
+from spurarch.transport.message_size import MessageTooLongError, check_size
 
 __all__ = ["Handler", "HttpClient", "HttpServer", "NoAnswerError", "Request", "Response"]
 
@@ -31,6 +34,7 @@
 IDLE_TIMEOUT_S = 120.0  # timeout of a server connection between two requests
 REQUEST_READ_TIMEOUT_S = 10.0  # timeout for the first bytes of a connection and for the rest of a request
 FIRST_REQUEST_GRACE_S = 2.0  # age from which a connection that has sent nothing may be closed in favor of a new one
+MAX_LOGGED_REFUSALS = 1000  # request bodies that were too long; one log line each
 SWEEP_INTERVAL_S = 1.0  # between two checks of the read deadlines
 CLIENT_KEEP_ALIVE_S = 20.0  # age from which a client closes an idle connection instead of reusing it
 
@@ -74,6 +78,7 @@
         self._handler = handler
         self._max_connections = max_connections
         self._connections: dict[_ServerConnection, None] = {}  # least recently used first
+        self._refused_bodies = 0
 
     async def run(self) -> None:
         """Accepts connections until cancelled."""
@@ -121,10 +126,19 @@
                 connection.idle = True
                 self._connections[connection] = self._connections.pop(connection)
         except MessageError as err:
+            if err.refused_body is not None:
+                self._log_refused(err.refused_body)
             await sock.sendall(render_response(err.response, close=True))
         finally:
             del self._connections[connection]
 
+    def _log_refused(self, refused: RefusedBody) -> None:
+        if self._refused_bodies < MAX_LOGGED_REFUSALS:
+            log.warning(
+                "request body too long target=%s bytes=%d begins=%r", refused.target, refused.size, refused.beginning
+            )
+        self._refused_bodies += 1
+
     async def _handle(self, request: Request) -> Response:
         try:
             return await self._handler(request)
@@ -193,10 +207,12 @@
         """Sends one request and returns status and body.
 
         Raises NoAnswerError without a usable response within `timeout_s` seconds, including the wait for a connection.
+        A request that is too long is not sent.
         """
         try:
+            check_size(body or b"", MAX_BODY_BYTES, method, target)
             message = render_request(method, self._host, target, body)
-        except ValueError as err:
+        except (ValueError, MessageTooLongError) as err:
             raise NoAnswerError(str(err), False) from None
         progress = _RequestProgress()
         try:
--- a/spurarch/transport/http_messages.py
+++ b/spurarch/transport/http_messages.py
@@ -12,6 +12,7 @@
 
 MAX_BODY_BYTES = 64 * 1024  # bytes of a request body
 MAX_HEAD_BYTES = 16 * 1024  # bytes of a request line and its headers
+REFUSED_BODY_BEGINNING = 100  # bytes of a body that is too long which are logged; a heartbeat begins with its machine
 REASON_PHRASES = {
     200: "OK",
     201: "Created",
@@ -50,12 +51,27 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+@dataclass(slots=True, frozen=True)
+class RefusedBody:
+    """A request body that is too long: the request's target, the body's size as announced, and its first bytes."""
+
+    target: str
+    size: int
+    beginning: bytes
+
+
 class MessageError(SpurarchError):
-    """The received bytes are not an acceptable HTTP request; `response` is the error response to send."""
+    """The received bytes are not an acceptable HTTP request.
+
+    Attributes:
+        response: The error response to send.
+        refused_body: What is known of a body that is too long; None if that isn't the error.
+    """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(self, status: int, reason: str, refused_body: RefusedBody | None = None) -> None:
         super().__init__(reason)
         self.response = error_response(status, reason)
+        self.refused_body = refused_body
 
 
 def error_response(status: int, message: str) -> Response:
@@ -77,6 +93,7 @@
         self._url = b""
         self._body_parts: list[bytes] = []
         self._head_bytes = self._body_bytes = self._host_header_count = 0
+        self._announced_size = b""
         self._head_done = self._expects_continue = self.started = False
 
     def feed(self, data: bytes) -> None:
@@ -111,11 +128,13 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Counts Host headers and notes an expected 100 response."""
+        """Counts Host headers, and notes the size of the body and an expected 100 response."""
         if len(name) == 4 and name.lower() == b"host":
             self._host_header_count += 1
         elif len(name) == 6 and name.lower() == b"expect":
             self._expects_continue = value.lower() == b"100-continue"
+        elif len(name) == 14 and name.lower() == b"content-length":
+            self._announced_size = value
 
     def on_headers_complete(self) -> None:
         """Marks the head as complete."""
@@ -125,7 +144,11 @@
         """Adds a part of the body, up to MAX_BODY_BYTES."""
         self._body_bytes += len(body)
         if self._body_bytes > MAX_BODY_BYTES:
-            self._pending_error = MessageError(413, "body too large")
+            announced = int(self._announced_size) if self._announced_size.isdigit() else 0  # none if sent in chunks
+            size = max(announced, self._body_bytes)
+            beginning = b"".join([*self._body_parts, body])[:REFUSED_BODY_BEGINNING]
+            refused_body = RefusedBody(self._url.decode("latin-1"), size, beginning)
+            self._pending_error = MessageError(413, "body too large", refused_body)
         else:
             self._body_parts.append(body)
 
--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -8,7 +8,10 @@
 
 import curio
 
+from spurarch.transport.frames import MAX_FRAME_BYTES
 from spurarch.transport.http import Handler, NoAnswerError, Request, Response
+from spurarch.transport.http_messages import MAX_BODY_BYTES
+from spurarch.transport.message_size import MessageTooLongError, check_size
 from spurarch.transport.network import Network
 from tests.sim.clock import Clock
 
@@ -46,6 +49,7 @@
         self.link_faults: list[LinkFault] = []
         # By address: function from client host to its server.
         self.handlers_by_client: dict[str, Callable[[str], Handler]] = {}
+        self.too_long: list[str] = []  # messages that were not sent, as they are too long
         self.slow_until, self.slow_s = 0.0, 0.0
         self.slow_responses: dict[str, tuple[float, float]] = {}  # by client host: until when, and seconds of delay
 
@@ -123,6 +127,11 @@
     async def request(self, method: str, target: str, body: bytes | None, timeout_s: float) -> tuple[int, bytes]:
         """Sends a request, like HttpClient.request."""
         await self._network.block_if_ended()
+        try:
+            check_size(body or b"", MAX_BODY_BYTES, method, target)
+        except MessageTooLongError as err:
+            self._links.too_long.append(str(err))
+            raise NoAnswerError(str(err), False) from None
         response = await self._links.request(
             self._source, self._address, Request(method, target, body or b""), timeout_s
         )
@@ -162,7 +171,13 @@
             return None
         await curio.sleep(links.latency_s())
         try:
-            return await curio.timeout_after(timeout_s, handler, frame)  # type: ignore[no-any-return]
+            check_size(frame, MAX_FRAME_BYTES, "frame", self._address)
+            response: bytes = await curio.timeout_after(timeout_s, handler, frame)
+            check_size(response, MAX_FRAME_BYTES, "frame", self._source)
+            return response
+        except MessageTooLongError as err:
+            links.too_long.append(str(err))
+            return None
         except curio.TaskTimeout:
             return None
 
--- a/tests/sim/scenario.py
+++ b/tests/sim/scenario.py
@@ -359,7 +359,7 @@
         await scenario_checks.watch_records(self)
 
     def _check(self) -> None:
-        self.problems += self.world.checks.violations + self.store.faults
+        self.problems += self.world.checks.violations + self.store.faults + self.links.too_long
         for controller in self.started:
             self.problems += controller.view.ledger.violations.messages
         for words in self.scenario.expects:
