Pass collected heartbeats on in frames that peers accept

Seen by callers: during a rebuild of lost records, the controller that rebuilds gets no heartbeats from a peer whose workers list many tasks, as the peer's page exceeds the 1 MiB of a frame and is refused.

Cause: a page of HeartbeatCollector held up to 200 heartbeats, however many tasks each of them lists.

Change: a page ends after 200 heartbeats or 4,000 tasks, with one heartbeat at least.

With the longest names and 462 tasks on each machine, a page of the former code had 8,741,987 bytes, of 1,048,576 that are allowed; pages of all sizes now fit, and hold each heartbeat.

--- a/spurarch/recovery/heartbeat_collector.py
+++ b/spurarch/recovery/heartbeat_collector.py
@@ -19,7 +19,9 @@
 from spurarch.protocol.recovery_messages import HeartbeatsPage
 from spurarch.transport.http_messages import Response, error_response
 
+# Of a page, which is one frame between controllers: the longest names, numbers and states of both fit in it.
 MAX_PAGE_HEARTBEATS = 200
+MAX_PAGE_TASKS = 4000
 
 
 class HeartbeatCollector:
@@ -89,9 +91,17 @@
         """
         if epoch != self.epoch:
             return HeartbeatsPage([], 0, self.highest_epoch)
-        names = self._arrival_order[after : after + MAX_PAGE_HEARTBEATS]
-        heartbeats = [self._heartbeats[name] for name in dict.fromkeys(names)]
-        return HeartbeatsPage(heartbeats, after + len(names), self.highest_epoch)
+        heartbeats: dict[str, wire.Heartbeat] = {}
+        position, tasks = after, 0
+        for name in self._arrival_order[after : after + MAX_PAGE_HEARTBEATS]:
+            if name not in heartbeats:
+                heartbeat = self._heartbeats[name]
+                tasks += len(heartbeat.tasks)
+                if heartbeats and tasks > MAX_PAGE_TASKS:
+                    break
+                heartbeats[name] = heartbeat
+            position += 1
+        return HeartbeatsPage(list(heartbeats.values()), position, self.highest_epoch)
 
 
 def _has_running_tasks(heartbeat: wire.Heartbeat) -> bool:
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from spurarch.coordination.admission.plan import CapacityShortage
@@ -24,11 +24,13 @@
 from spurarch.coordination.scheduling.local_search import refine
 from spurarch.coordination.scheduling.placement import TaskPlacer
 from spurarch.coordination.scheduling.placement_round import PlacementResult
-from spurarch.protocol import wire
+from spurarch.protocol import recovery_messages, wire
 from spurarch.protocol.message_limits import MAX_TASKS_PER_MACHINE
+from spurarch.recovery.heartbeat_collector import HeartbeatCollector
 from spurarch.settings import Tuning
 from spurarch.storage import records
 from spurarch.storage.records import AllocationKey, AllocationRecord, JobRecord, TaskEntry
+from spurarch.transport.frames import MAX_FRAME_BYTES
 from tests.test_decisions import search_of
 from tests.test_scale import Fleet, submission
 
@@ -262,3 +264,33 @@
     for capacity in view.capacities.values():
         capacity.free_tasks = 0
     return view
+
+
+# Rebuilding lost records
+
+
+@settings(max_examples=20, deadline=None)
+@given(st.lists(st.integers(0, MAX_TASKS_PER_MACHINE), min_size=1, max_size=300), st.integers(0, 30))
+@example([MAX_TASKS_PER_MACHINE] * 300, 0)
+def test_collected_heartbeats_are_passed_on_in_frames_that_peers_accept(tasks: list[int], repeated: int) -> None:
+    """A peer refused a page of large heartbeats, so the rebuild went on without that controller's workers."""
+    collector = HeartbeatCollector(lambda now: True, lambda job: False)
+    collector.begin(7)
+    name, job = "n" * 160, "job-" + "9" * 24
+    for number, count in enumerate([*tasks, *tasks[:repeated]]):
+        worker = f"{name[: -len(str(number % len(tasks)))]}{number % len(tasks)}"
+        statuses = [
+            wire.TaskStatus(f"{job}/{99999 - n}", 2**63 - 1, "gathering", "incomplete", False) for n in range(count)
+        ]
+        heartbeat = wire.Heartbeat(worker, name, name, name, 1, number, collector.token, statuses)
+        collector.on_heartbeat(heartbeat)
+    received: dict[str, int] = {}
+    position = 0
+    while True:
+        page = collector.page(7, position)
+        assert len(recovery_messages.encode(page)) <= MAX_FRAME_BYTES
+        if not page.heartbeats:
+            break
+        position = page.position
+        received.update((heartbeat.machine, len(heartbeat.tasks)) for heartbeat in page.heartbeats)
+    assert sorted(received.values()) == sorted(tasks)
