Note forgets as sent only if the message carries them

Cause: the first version of the limit noted a forget for every exited attempt in direct commands, and cut the list afterwards. The note says by which message a worker was told to forget an attempt; it is read when the attempt runs again.

Change: the exits are cut before their forgets are planned. Also, the number of booked resources has a name, and the property test of rounds plays 40 machines.

--- a/spurarch/coordination/fleet/capacity.py
+++ b/spurarch/coordination/fleet/capacity.py
@@ -11,6 +11,7 @@
 
 EPSILON = 1e-6  # tolerance for rounding in sums of CPUs, GPUs and gigabytes
 PRIORITIES = 4  # levels; 0 is the highest
+RESOURCES = 4  # CPUs, GPUs, gigabytes of memory, and places for tasks
 
 
 @dataclass(slots=True)
@@ -67,7 +68,7 @@
     tasks: int = 0
     free_tasks: int = MAX_TASKS_PER_MACHINE
     schedulable: bool = True
-    used_by_priority: list[list[float]] = field(default_factory=lambda: [[0.0] * 4 for _ in range(PRIORITIES)])
+    used_by_priority: list[list[float]] = field(default_factory=lambda: [[0.0] * RESOURCES for _ in range(PRIORITIES)])
 
     def book(self, requirements: Requirements, count: int = 1) -> None:
         """Books `count` tasks; a negative count removes bookings."""
--- a/spurarch/coordination/partition/commands.py
+++ b/spurarch/coordination/partition/commands.py
@@ -80,11 +80,9 @@
         if path is CommandPath.HEARTBEAT_RESPONSE:
             exits = exits[:max_commands]
             self._reject_starts(machine, [*exits, *absent])
-        return [
-            self._forget(machine, exited, path)
-            for exited in exits
-            if rejects_start(machine.token_counter, exited.start_token_counter)
-        ][:max_commands]
+        else:
+            exits = [exited for exited in exits if rejects_start(machine.token_counter, exited.start_token_counter)]
+        return [self._forget(machine, exited, path) for exited in exits[:max_commands]]
 
     def _starts(self, machine: Machine, path: CommandPath, max_commands: int) -> list[wire.Command]:
         """Returns starts, and moves the attempts that are started for the first time to STARTING."""
--- a/tests/test_command_limits.py
+++ b/tests/test_command_limits.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from spurarch.coordination.partition.ended_attempts import EndedAttempt, EndProof
 from spurarch.coordination.partition.machine import AttemptPhase
 from spurarch.protocol import wire
 from spurarch.protocol.message_limits import MAX_COMMANDS_PER_MESSAGE, MAX_TASKS_PER_MACHINE
@@ -109,6 +110,25 @@
     assert listed == [1200 - MAX_COMMANDS_PER_MESSAGE, 1200 - 2 * MAX_COMMANDS_PER_MESSAGE, 0, 0]
 
 
+def test_a_forget_that_is_left_out_of_a_message_is_not_noted_as_sent() -> None:
+    world = CommandExchange(1, 1)
+    worker, ended_attempts = world.workers[0], world.partition.state.ended_attempts
+    for index in range(1200):
+        task = wire.task_name("job-9", index)
+        worker.tasks[task, 1] = wire.EXITED
+        ended_attempts.add(worker.name, task, 1, EndedAttempt(EndProof.EXIT_REPORTED))
+
+    def noted() -> int:
+        ended = [ended_attempts.get(worker.name, wire.task_name("job-9", index), 1) for index in range(1200)]
+        return sum(attempt is not None and attempt.forget is not None for attempt in ended)
+
+    world.exchange_heartbeat(worker)
+    assert noted() == MAX_COMMANDS_PER_MESSAGE
+    assert world.send_direct(worker)
+    _checked(worker.direct[0].request)
+    assert noted() == MAX_COMMANDS_PER_MESSAGE
+
+
 def test_stops_before_the_records_are_read_are_limited_too() -> None:
     world = CommandExchange(1, 1)
     worker = world.workers[0]
--- a/tests/test_message_limits.py
+++ b/tests/test_message_limits.py
@@ -138,7 +138,7 @@
 def test_no_round_assigns_more_tasks_than_a_machine_can_list(
     jobs: list[tuple[str, float, int, str]], exits: int
 ) -> None:
-    fleet = Fleet(3)
+    fleet = Fleet(40)
     machine = fleet.partition.machines["vm-0"]
     machine.exits_to_forget = {("job-e", n): ExitedAttempt(f"job-e/{n}", 1, 0) for n in range(exits)}
     for number, (kind, amount, tasks, priority) in enumerate(jobs):
