--- a/tests/sim/scenario_checks.py
+++ b/tests/sim/scenario_checks.py
@@ -5,6 +5,7 @@
     confirmed JOB             its user has received the confirmation of its cancellation
     runs JOB                  a task of the job has its image on a machine and has not ended
     runs-all JOB              all tasks of the gang are running
+    lists MACHINE N           the worker of the machine lists at least N tasks, exited ones included
     gathers JOB               a task of the gang has its image and waits for the other members
     up NODE                   the controller's process is running
     leads NODE                the controller is running and is the leader
@@ -80,6 +81,8 @@
         job = scenario_run.world.jobs[args[0]]
         states = [task.state for _, task in scenario_run.world.on_machines() if task.name.startswith(args[0] + "/")]
         return states == ["running"] * job["legs"]
+    if kind == "lists":
+        return len(scenario_run.world.workers[args[0]].tasks) >= int(args[1])
     if kind == "gathers":
         return any(
             t.name.startswith(args[0] + "/") and t.state == "gathering" for _, t in scenario_run.world.on_machines()
