Run single test files as CONTRIBUTING describes

Cause: a run of one file (`python -m pytest tests/test_gangs.py`) ended with "no such test", since KNOWN-RED.txt lists a test of another file. Only runs with -k or `::` were let through.

Change: a listed test may be absent if the command line names files or folders, its own file is none of them, and that file exists. A run of all tests, and an entry whose file doesn't exist, are refused as before; both have a test.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -43,6 +43,15 @@
     return out
 
 
+def _is_in_unselected_file(config: pytest.Config, red: KnownRed) -> bool:
+    """Whether the command line names other files or folders than that of the test, which does exist."""
+    if config.args_source is not pytest.Config.ArgsSource.ARGS:
+        return False
+    path = config.rootpath / red.test.split("::")[0]
+    selected = [(config.invocation_params.dir / arg).resolve() for arg in config.args]
+    return path.is_file() and not any(path.resolve().is_relative_to(folder) for folder in selected)
+
+
 class KnownRedPlugin:
     """Pytest plugin that expects the listed tests to fail, and prints them."""
 
@@ -69,7 +78,7 @@
         if config.option.keyword or any("::" in arg for arg in config.args):
             return
         for red in self.listed:
-            if red.test not in collected:
+            if red.test not in collected and not _is_in_unselected_file(config, red):
                 raise pytest.UsageError(f"{FILE}: no such test: {red.test}")
 
     def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -48,6 +48,24 @@
     assert result.ret == 0
 
 
+@pytest.mark.parametrize(("listed", "refused"), [("test_other.py::test_x", False), ("test_none.py::test_x", True)])
+def test_a_run_of_one_file_may_omit_listed_tests_of_other_files(
+    inner_run: InnerRun, listed: str, refused: bool
+) -> None:
+    (inner_run.path / "test_other.py").write_text("def test_x():\n    assert False\n")
+    result = play(inner_run, f"test_it.py::test_bad; c; 7\n{listed}; c; 7\n", "test_it.py")
+    assert (result.ret == pytest.ExitCode.USAGE_ERROR) is refused
+
+
+def test_a_run_of_all_files_may_not_omit_a_listed_test(inner_run: InnerRun) -> None:
+    (inner_run.path / "elsewhere.py").write_text("def test_x():\n    assert False\n")
+    (inner_run.path / "tests").mkdir()
+    (inner_run.path / "tests" / "test_here.py").write_text("def test_here():\n    pass\n")
+    result = play(inner_run, "elsewhere.py::test_x; c; 7\n", "--color=no")
+    assert result.ret == pytest.ExitCode.USAGE_ERROR
+    assert f"ERROR: {FILE}: no such test: elsewhere.py::test_x" in result.errlines
+
+
 @pytest.mark.parametrize(
     ("listed", "message"),
     [
